--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform, load tool, experiments and demo."""
--- /dev/null
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/__init__.py
@@ -0,0 +1,1 @@
+"""Operators command of amaranthlug."""
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/__init__.py
@@ -0,0 +1,1 @@
+"""Model-aware router for versions and cascades."""
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""What nodes do together, timers and the log follower."""
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Life of a request: parse, admit, choose, dispatch and relay."""
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/state/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes and pure folds without input or output."""
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/state/catalog.py
@@ -0,0 +1,205 @@
+"""Configuration in force: organisations, versions, pools, kinds, roll-outs."""
+
+import dataclasses
+from collections.abc import Mapping
+
+MICRO_UNITS = 1_000_000
+"""Micro-units of currency in one unit; all costs are integer micro-units."""
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class VersionId:
+    """A model and one of its versions, written `model@version`."""
+
+    model: str
+    version: str
+
+    def __str__(self) -> str:
+        """Returns the wire form `model@version`."""
+        return f"{self.model}@{self.version}"
+
+    @classmethod
+    def parse(cls, text: str) -> "VersionId":
+        """Parses `model@version`.
+
+        Raises:
+            ValueError: The text has no `@` or an empty side.
+        """
+        model, separator, version = text.partition("@")
+        if not separator or not model or not version:
+            raise ValueError(f"{text!r} is not of the form model@version")
+        return cls(model, version)
+
+
+@dataclasses.dataclass(frozen=True)
+class Version:
+    """One version of a model with its prices.
+
+    Attributes:
+        id: Model and version.
+        pool: Name of the upstream pool that runs it.
+        input_price: Micro-units per million prompt tokens.
+        output_price: Micro-units per million generated tokens.
+        context_tokens: Longest prompt plus answer, in tokens.
+        prior_quality: Assumed share of good answers before any rating.
+    """
+
+    id: VersionId
+    pool: str
+    input_price: int
+    output_price: int
+    context_tokens: int = 32_768
+    prior_quality: float = 0.5
+
+    def cost(self, prompt_tokens: int, output_tokens: int) -> int:
+        """Returns the price of an answer in micro-units, rounded up."""
+        total = (
+            prompt_tokens * self.input_price + output_tokens * self.output_price
+        )
+        return -(-total // 1_000_000)
+
+
+@dataclasses.dataclass(frozen=True)
+class Upstream:
+    """One server of a pool."""
+
+    address: str
+    zone: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Pool:
+    """A named set of upstreams that run the same software."""
+
+    name: str
+    upstreams: tuple[Upstream, ...]
+    engine: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Limits of an organisation over all nodes; 0 means no limit."""
+
+    requests_per_s: float = 0.0
+    tokens_per_s: float = 0.0
+    cost_per_day: int = 0
+    streams: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Organisation:
+    """A customer of the operator.
+
+    Attributes:
+        name: Unique name.
+        key_digests: Lower-case hex SHA-256 digests of its callers' keys.
+        allowed: Versions that its requests may run on.
+        limits: Limits that hold over all nodes.
+        services: Plain services that it may call.
+    """
+
+    name: str
+    key_digests: frozenset[str]
+    allowed: frozenset[VersionId]
+    limits: Limits = dataclasses.field(default_factory=Limits)
+    services: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestKind:
+    """A kind of request with its target.
+
+    Attributes:
+        name: Value of the header `X-Request-Kind`.
+        quality_target: Least share of good answers, 0 to 1.
+        deadline_ms: Default time to the whole answer, in milliseconds.
+        first_token_ms: Time to the first token of a stream, in milliseconds.
+        priority: Higher runs first.
+        harmful: A wrong answer does serious harm; unproven versions do not
+            get this kind.
+        idempotent: The request may run more than once.
+        max_output_tokens: Default bound of the answer, in tokens.
+    """
+
+    name: str
+    quality_target: float
+    deadline_ms: int = 30_000
+    first_token_ms: int = 2_000
+    priority: int = 0
+    harmful: bool = False
+    idempotent: bool = True
+    max_output_tokens: int = 512
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceRoute:
+    """One route of a plain service; the longest matching prefix applies."""
+
+    method: str
+    prefix: str
+    repeatable: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A plain service beside the engines."""
+
+    name: str
+    pool: str
+    routes: tuple[ServiceRoute, ...]
+    timeout_ms: int = 10_000
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutStage:
+    """One stage of a roll-out.
+
+    Attributes:
+        share: Share of new sessions and sessionless requests, 0 to 1.
+        min_rated: Rated answers needed before the next stage.
+        max_unrated: Requests in flight or not yet rated, over all nodes.
+    """
+
+    share: float
+    min_rated: int
+    max_unrated: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Rollout:
+    """A declared move from one version of a model to another."""
+
+    name: str
+    model: str
+    from_version: str
+    to_version: str
+    stages: tuple[RolloutStage, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Catalog:
+    """The whole configuration at one revision.
+
+    Attributes:
+        revision: Log offset of the publication that produced it; -1 before
+            the first publication.
+    """
+
+    revision: int = -1
+    organisations: Mapping[str, Organisation] = dataclasses.field(
+        default_factory=dict
+    )
+    versions: Mapping[VersionId, Version] = dataclasses.field(
+        default_factory=dict
+    )
+    pools: Mapping[str, Pool] = dataclasses.field(default_factory=dict)
+    kinds: Mapping[str, RequestKind] = dataclasses.field(default_factory=dict)
+    services: Mapping[str, Service] = dataclasses.field(default_factory=dict)
+    rollouts: Mapping[str, Rollout] = dataclasses.field(default_factory=dict)
+
+    def organisation_by_digest(self, digest: str) -> Organisation | None:
+        """Returns the organisation that owns a key digest, or None."""
+        for organisation in self.organisations.values():
+            if digest in organisation.key_digests:
+                return organisation
+        return None
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/state/refusal.py
@@ -0,0 +1,67 @@
+"""Typed refusals: what callers and operators read when a request is not met."""
+
+import dataclasses
+import enum
+
+
+class RefusalCode(enum.StrEnum):
+    """Kinds of refusal; each has a counter `refused.CODE`."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    MISSING_KEY = "missing_key"
+    UNKNOWN_KEY = "unknown_key"
+    UNKNOWN_KIND = "unknown_kind"
+    UNKNOWN_SERVICE = "unknown_service"
+    VERSION_NOT_ALLOWED = "version_not_allowed"
+    NO_VERSION = "no_version"
+    DEADLINE_PASSED = "deadline_passed"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    LIMIT_EXCEEDED = "limit_exceeded"
+    OVERLOADED = "overloaded"
+    POOL_EXHAUSTED = "pool_exhausted"
+    UNCONFIRMED_CONFIGURATION = "unconfirmed_configuration"
+    NO_CONFIGURATION = "no_configuration"
+    SLOT_UNAVAILABLE = "slot_unavailable"
+    RUN_REGISTER_FULL = "run_register_full"
+    RUN_IN_PROGRESS = "run_in_progress"
+    KEY_REUSED = "key_reused"
+    UNKNOWN_OUTCOME = "unknown_outcome"
+    BILLING_BACKLOG = "billing_backlog"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    POISONED_REQUEST = "poisoned_request"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """The final answer to a request that is not met.
+
+    Attributes:
+        code: Kind of the refusal.
+        message: What happened.
+        remedy: What the caller or operator can do.
+        status: HTTP status.
+        not_run: True only if no upstream can have received the request.
+        retry_after_s: Seconds after which to come back; None for never.
+    """
+
+    code: RefusalCode
+    message: str
+    remedy: str
+    status: int
+    not_run: bool
+    retry_after_s: float | None = None
+
+    def to_json(self) -> dict[str, object]:
+        """Returns the body that callers receive."""
+        return {
+            "error": {
+                "code": str(self.code),
+                "message": self.message,
+                "remedy": self.remedy,
+                "not_run": self.not_run,
+                "retry_after_s": self.retry_after_s,
+            }
+        }
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, HTTP servers and clients, and adapters of the platform."""
