--- a/packages/amaranthlug/src/amaranthlug/coordination/peers.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/peers.py
@@ -1,4 +1,4 @@
-"""Messages between nodes: sending interface and registry of handlers."""
+"""Interfaces between nodes: messages, members, rumours and the log feed."""
 
 import dataclasses
 from collections.abc import Callable
@@ -6,6 +6,10 @@
 
 from result import Result
 
+from amaranthlug.coordination.platform import PlatformError
+from amaranthlug.state.members import Member
+from amaranthlug.state.records import AnyRecord, LogEntry
+
 
 @dataclasses.dataclass(frozen=True)
 class PeerError:
@@ -69,3 +73,71 @@
     def incoming(self, sender: str, section: dict[str, Any]) -> None:
         """Merges a section received from the node at address `sender`."""
         ...
+
+
+class MemberView(Protocol):
+    """Members as this node knows them."""
+
+    me: Member
+
+    def members(self) -> list[Member]:
+        """Returns all known members, this node included."""
+        ...
+
+    def live(self) -> list[Member]:
+        """Returns members that may get work, this node included."""
+        ...
+
+    def by_incarnation(self, incarnation: str) -> Member | None:
+        """Returns a known member or None."""
+        ...
+
+    def heard_majority(self) -> bool:
+        """Tells whether a majority of members was heard within the limit."""
+        ...
+
+
+class Rumours(Protocol):
+    """Urgent facts, passed on to 3 peers by each node that finds them new."""
+
+    def spread(self, topic: str, fact: dict[str, Any]) -> None:
+        """Applies a fact here and sends it on; repeats are ignored."""
+        ...
+
+    def subscribe(
+        self, topic: str, call: Callable[[dict[str, Any]], bool]
+    ) -> None:
+        """Adds a receiver that returns True when the fact was new to it."""
+        ...
+
+
+class LogFeed(Protocol):
+    """Records of the log as they arrive, each once and in offset order."""
+
+    def subscribe(self, call: Callable[[LogEntry], None]) -> None:
+        """Adds a fold; it gets every record from the first one kept."""
+        ...
+
+    def position(self) -> int:
+        """Returns the offset of the last record seen, -1 for none."""
+        ...
+
+    def confirmed_age(self) -> float:
+        """Returns seconds since the end of the log was last confirmed."""
+        ...
+
+    def catch_up(self, timeout_s: float) -> Result[int, PlatformError]:
+        """Reads to the end of the log now and returns the position."""
+        ...
+
+
+class RecordWriter(Protocol):
+    """Appends records with one effect each, whatever answers are lost."""
+
+    def append(self, record: AnyRecord) -> Result[int, PlatformError]:
+        """Appends a record, waits, and returns its offset."""
+        ...
+
+    def enqueue(self, record: AnyRecord) -> bool:
+        """Appends later, surviving outages; False at the bound."""
+        ...
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/settings_file.py
@@ -0,0 +1,66 @@
+"""Reads a node's YAML settings file over the commented defaults."""
+
+import pathlib
+from typing import Any
+
+import pydantic
+import yaml
+from result import Err, Ok, Result
+
+from amaranthlug.state.settings import NodeSettings
+
+
+class SettingsError(Exception):
+    """A settings file is wrong; the message names file, key and remedy."""
+
+
+class SettingsModel(pydantic.RootModel[NodeSettings]):
+    """Validates the file's content as `NodeSettings`."""
+
+
+def load_settings(path: pathlib.Path) -> Result[NodeSettings, SettingsError]:
+    """Reads and validates a settings file."""
+    try:
+        content: Any = yaml.safe_load(path.read_text())
+    except (OSError, yaml.YAMLError) as error:
+        return Err(SettingsError(f"{path}: cannot be read: {error}"))
+    return parse_settings(str(path), content)
+
+
+def parse_settings(
+    source: str, content: Any
+) -> Result[NodeSettings, SettingsError]:
+    """Validates settings that were read from `source`."""
+    unknown = unknown_key(content, NodeSettings)
+    if unknown:
+        return Err(
+            SettingsError(
+                f"{source}: {unknown}: unknown key; remove it or see "
+                "docs/operate/settings.md for the known ones"
+            )
+        )
+    try:
+        return Ok(SettingsModel.model_validate(content).root)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        key = ".".join(str(part) for part in first["loc"])
+        return Err(
+            SettingsError(
+                f"{source}: {key}: {first['msg']}; see "
+                "docs/operate/settings.md for the expected value"
+            )
+        )
+
+
+def unknown_key(content: Any, kind: Any) -> str:
+    """Returns the path of the first key that the data class lacks, or ''."""
+    fields = getattr(kind, "__dataclass_fields__", None)
+    if fields is None or not isinstance(content, dict):
+        return ""
+    for name, value in content.items():
+        if name not in fields:
+            return str(name)
+        below = unknown_key(value, fields[name].type)
+        if below:
+            return f"{name}.{below}"
+    return ""
