--- a/packages/amaranthlug/src/amaranthlug/state/settings.py
+++ b/packages/amaranthlug/src/amaranthlug/state/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a node as data classes; `protocol/settings_file.py` reads them."""
+"""Settings of a node as data classes; read by `protocol/settings_file`."""
 
 import dataclasses
 
