--- a/packages/amaranthlug/src/amaranthlug/coordination/peers.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/peers.py
@@ -61,6 +61,25 @@
         self.handlers[name] = handler
 
 
+class WrongProcessError(Exception):
+    """A message was meant for another incarnation at this address."""
+
+
+def handle_message(
+    handlers: PeerHandlers, me: Member, name: str, message: dict[str, Any]
+) -> dict[str, Any]:
+    """Runs the handler of a message.
+
+    Raises:
+        WrongProcessError: The member `to` names another incarnation.
+        KeyError: There is no such handler.
+    """
+    meant_for = message.get("to", me.incarnation)
+    if meant_for != me.incarnation:
+        raise WrongProcessError(f"meant for incarnation {meant_for}")
+    return handlers.handlers[name](message)
+
+
 class ExchangeSection(Protocol):
     """One part's share of the periodic exchange message."""
 
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/transport/peer_auth.py
@@ -0,0 +1,130 @@
+"""Authentication of messages between nodes and their dispatch to handlers."""
+
+import hashlib
+import hmac
+import json
+import logging
+import time
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from amaranthlug.coordination.peers import (
+    PeerHandlers,
+    WrongProcessError,
+    handle_message,
+)
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.state.members import Member
+
+HEADER = "X-Peer-Auth"
+SKEW_S = 60.0
+"""Largest accepted difference between the clocks of two nodes, in seconds."""
+
+log = logging.getLogger(__name__)
+
+
+class PeerKeys:
+    """Shared keys; the first signs and any of them verifies."""
+
+    def __init__(
+        self,
+        keys: dict[str, str],
+        wall_s: Callable[[], float] = time.time,
+    ):
+        """Keeps the keys in their order.
+
+        Raises:
+            ValueError: There is no key to sign with.
+        """
+        if not keys:
+            raise ValueError("peers.keys is empty; set at least one key")
+        self.keys = keys
+        self.signing = next(iter(keys))
+        self.wall_s = wall_s
+
+    def mac(
+        self, key_id: str, at_ms: str, sender: str, name: str, body: bytes
+    ) -> str:
+        """Returns the MAC in hexadecimal.
+
+        The handler's name is covered too, so a captured message cannot be
+        sent to another handler.
+        """
+        head = f"{at_ms}\n{sender}\n{name}\n".encode()
+        secret = self.keys[key_id].encode()
+        return hmac.new(secret, head + body, hashlib.sha256).hexdigest()
+
+    def sign(self, sender: str, name: str, body: bytes) -> str:
+        """Returns the header value of a message."""
+        at_ms = str(int(self.wall_s() * 1000))
+        mac = self.mac(self.signing, at_ms, sender, name, body)
+        return f"{self.signing}:{at_ms}:{sender}:{mac}"
+
+    def verify(self, header: str, name: str, body: bytes) -> Result[str, str]:
+        """Returns the sender's address, or why the message is refused."""
+        # The sender is host:port and so contains a colon itself.
+        key_id, _, rest = header.partition(":")
+        at_ms, _, rest = rest.partition(":")
+        sender, _, mac = rest.rpartition(":")
+        if key_id not in self.keys:
+            return Err("unknown peer key; add it to peers.keys")
+        if not at_ms.isascii() or not at_ms.isdigit():
+            return Err(f"malformed {HEADER}")
+        if not hmac.compare_digest(
+            mac.encode(), self.mac(key_id, at_ms, sender, name, body).encode()
+        ):
+            return Err("wrong MAC; compare peers.keys of both nodes")
+        if abs(self.wall_s() - int(at_ms) / 1000) > SKEW_S:
+            return Err("clock skew above 60 s; set the clock of the VM")
+        return Ok(sender)
+
+
+class PeerReceiver:
+    """Serves `POST /peer/NAME`: verifies, dispatches and counts."""
+
+    def __init__(
+        self,
+        keys: PeerKeys,
+        handlers: PeerHandlers,
+        me: Member,
+        metrics: Metrics,
+    ):
+        """Takes the registry of handlers and this node's identity."""
+        self.keys = keys
+        self.handlers = handlers
+        self.me = me
+        self.metrics = metrics
+
+    def receive(self, name: str, auth: str, body: bytes) -> tuple[int, bytes]:
+        """Returns the HTTP status and JSON body of the reply."""
+        self.metrics.incr("control.messages_received")
+        self.metrics.incr("control.bytes_received", len(body) + len(auth))
+        status, reply = self.answer(name, auth, body)
+        data = json.dumps(reply, separators=(",", ":")).encode()
+        self.metrics.incr("control.bytes_sent", len(data))
+        return status, data
+
+    def answer(
+        self, name: str, auth: str, body: bytes
+    ) -> tuple[int, dict[str, object]]:
+        """Verifies and handles a message."""
+        verified = self.keys.verify(auth, name, body)
+        if isinstance(verified, Err):
+            self.metrics.incr("peer.unauthenticated")
+            return 401, {"error": verified.err_value}
+        try:
+            message = json.loads(body)
+        except ValueError:
+            return 400, {"error": "body is not JSON"}
+        if not isinstance(message, dict) or name not in self.handlers.handlers:
+            return 404, {"error": f"no handler {name!r}"}
+        if message.get("sender") != verified.ok_value:
+            return 401, {"error": "sender differs from the signed one"}
+        try:
+            return 200, handle_message(self.handlers, self.me, name, message)
+        except WrongProcessError as error:
+            return 410, {"error": str(error)}
+        except (KeyError, TypeError, ValueError) as error:
+            log.warning("malformed peer message %s: %r", name, error)
+            return 400, {"error": f"malformed {name} message"}
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
@@ -0,0 +1,154 @@
+"""Messages to peers over HTTP with long-lived pooled connections."""
+
+import json
+from collections import OrderedDict
+from typing import Any
+
+import gevent
+from geventhttpclient import HTTPClient
+from result import Err, Ok, Result
+
+from amaranthlug.coordination.peers import PeerError
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.state.members import Member
+from amaranthlug.transport.peer_auth import HEADER, PeerKeys
+
+IDLE_PER_PEER = 4
+"""Idle connections kept per peer; more are closed after use."""
+
+PEERS_POOLED = 64
+"""Peers with idle connections; the least recently used is closed beyond."""
+
+
+class HttpPeerLink:
+    """Implements `PeerLink`; adds sender and incarnation and signs."""
+
+    def __init__(self, keys: PeerKeys, me: Member, metrics: Metrics):
+        """Takes the keys and this node's identity."""
+        self.keys = keys
+        self.me = me
+        self.metrics = metrics
+        self.idle: OrderedDict[str, list[HTTPClient]] = OrderedDict()
+
+    def call(
+        self,
+        address: str,
+        name: str,
+        message: dict[str, Any],
+        timeout_s: float,
+    ) -> Result[dict[str, Any], PeerError]:
+        """Sends `message` to handler `name` and returns its reply."""
+        full = {
+            **message,
+            "sender": self.me.address,
+            "incarnation": self.me.incarnation,
+        }
+        body = json.dumps(full, separators=(",", ":")).encode()
+        auth = self.keys.sign(self.me.address, name, body)
+        try:
+            with gevent.Timeout(timeout_s):
+                return self.post(address, name, body, auth)
+        except gevent.Timeout:
+            self.metrics.incr("peer.timeout")
+            return Err(
+                PeerError(address, f"{name}: no answer in {timeout_s} s")
+            )
+
+    def post(
+        self, address: str, name: str, body: bytes, auth: str
+    ) -> Result[dict[str, Any], PeerError]:
+        """Posts on an idle connection, or on a new one if that is dead.
+
+        Peer messages are idempotent, so sending one again is harmless.
+        """
+        client = self.take_idle(address)
+        if client is not None:
+            try:
+                return self.exchange(client, address, name, body, auth)
+            except OSError:
+                self.metrics.incr("retried.peer_connection")
+        try:
+            fresh = self.connect(address)
+            return self.exchange(fresh, address, name, body, auth)
+        except ConnectionRefusedError as error:
+            return Err(PeerError(address, f"{name}: {error}", True))
+        except (OSError, ValueError) as error:
+            return Err(PeerError(address, f"{name}: {error}"))
+
+    def exchange(
+        self,
+        client: HTTPClient,
+        address: str,
+        name: str,
+        body: bytes,
+        auth: str,
+    ) -> Result[dict[str, Any], PeerError]:
+        """Sends one request; closes the connection unless it went well."""
+        self.metrics.incr("control.messages_sent")
+        self.metrics.incr("control.bytes_sent", len(body) + len(auth))
+        whole = False
+        try:
+            response = client.post(
+                f"/peer/{name}",
+                body=body,
+                headers={HEADER: auth, "Content-Type": "application/json"},
+            )
+            data = bytes(response.read())
+            whole = True
+        finally:
+            if whole:
+                self.put_idle(address, client)
+            else:
+                client.close()
+        self.metrics.incr("control.bytes_received", len(data))
+        if response.status_code != 200:
+            return Err(
+                PeerError(
+                    address,
+                    f"{name}: status {response.status_code}: {data[:200]!r}",
+                    not_received=response.status_code in (401, 404, 410),
+                )
+            )
+        return decode(address, name, data)
+
+    def connect(self, address: str) -> HTTPClient:
+        """Creates a client of one connection; limits come from `call`."""
+        host, _, port = address.rpartition(":")
+        return HTTPClient(host, int(port), concurrency=1)
+
+    def take_idle(self, address: str) -> HTTPClient | None:
+        """Takes an idle connection to a peer."""
+        clients = self.idle.get(address)
+        return clients.pop() if clients else None
+
+    def put_idle(self, address: str, client: HTTPClient) -> None:
+        """Keeps a connection for later within the bounds."""
+        clients = self.idle.setdefault(address, [])
+        self.idle.move_to_end(address)
+        if len(clients) < IDLE_PER_PEER:
+            clients.append(client)
+        else:
+            client.close()
+        while len(self.idle) > PEERS_POOLED:
+            for old in self.idle.popitem(last=False)[1]:
+                old.close()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for clients in self.idle.values():
+            for client in clients:
+                client.close()
+        self.idle.clear()
+
+
+def decode(
+    address: str, name: str, data: bytes
+) -> Result[dict[str, Any], PeerError]:
+    """Decodes a reply."""
+    try:
+        reply = json.loads(data)
+    except ValueError:
+        return Err(PeerError(address, f"{name}: reply is not JSON"))
+    if not isinstance(reply, dict):
+        return Err(PeerError(address, f"{name}: reply is not an object"))
+    return Ok(reply)
