Add slot leases with promises, takeover, hand-over and even spread

Cause: keys and sessions need one acting owner and two copies without an append per request. Change: lease fold by compare and set; validity from promises of all successors, checked at each act; replication and transfer of slot tables; first claims, takeover with a merge, replacement of lost successors, hand-over on join and leave. A node takes slots only if it reaches a majority of a small sample: the cut-zone test first showed a minority claiming slots, since heartbeats look fresh for 6 s and a promise lasts 4 s.

--- a/test/_fakes_fleet.py
+++ b/test/_fakes_fleet.py
@@ -15,6 +15,8 @@
 )
 from amaranthlug.coordination.platform import PlatformError
 from amaranthlug.coordination.rumours import RumourMill
+from amaranthlug.coordination.slot_claims import SlotClaims
+from amaranthlug.coordination.slots import SlotKeeper
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.coordination.vm_watch import VmWatch
 from amaranthlug.state.members import Member
@@ -208,10 +210,29 @@
             self.link, self.membership, self.handlers, self.timers
         )
         self.exchange.register(self.membership)
-        for part in (self.vms, self.membership, self.exchange):
+        self.slots = SlotKeeper(
+            self.membership,
+            self.link,
+            self.handlers,
+            self.feed,
+            self.timers,
+            self.metrics,
+            timings,
+            wall_s=lambda: fleet.time,
+            pause=lambda seconds: gevent.sleep(0),
+        )
+        self.claims = SlotClaims(
+            self.slots, self.feed, self.membership.certainly_gone
+        )
+        self.build()
+        parts = (self.vms, self.membership, self.exchange)
+        for part in (*parts, self.slots, self.claims):
             part.start()
         self.timers.every("log", 0.5, self.feed.poll)
 
+    def build(self):
+        """Adds the parts under test."""
+
 
 class Fleet:
     """Nodes that share a clock, a log and a VM list."""
@@ -263,6 +284,14 @@
             return False
         return (sender, receiver) not in self.cuts
 
+    def owners(self, slot):
+        """Returns the addresses of nodes that may act on a slot now."""
+        return [
+            address
+            for address, node in self.nodes.items()
+            if node.slots.holds(slot)
+        ]
+
     def run(self, seconds):
         """Moves time and runs the timers that are due."""
         end = self.time + seconds
