--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/config_models.py
@@ -0,0 +1,123 @@
+"""Models of the configuration folder; they reject unknown keys and types.
+
+Ranges and references are checked by `state/catalog_check`, which every node
+applies again to what is published.
+"""
+
+import pydantic
+
+from amaranthlug.state.parts import version_members
+
+
+class Body(pydantic.BaseModel):
+    """Base of all bodies."""
+
+    model_config = pydantic.ConfigDict(
+        extra="forbid", strict=True, allow_inf_nan=False
+    )
+
+
+class LimitsBody(Body):
+    """Limits over all nodes; 0 means no limit."""
+
+    requests_per_s: float = 0.0
+    tokens_per_s: float = 0.0
+    cost_per_day: int = 0
+    streams: int = 0
+
+
+class OrganisationBody(Body):
+    """An organisation; `key_digests` are SHA-256 digests of caller keys."""
+
+    key_digests: list[str]
+    allowed: list[str] = []
+    limits: LimitsBody = LimitsBody()
+    services: list[str] = []
+
+    @pydantic.field_validator("allowed")
+    @classmethod
+    def have_version_form(cls, allowed: list[str]) -> list[str]:
+        """Checks that each entry is written `model@version`."""
+        for text in allowed:
+            version_members(text)
+        return allowed
+
+
+class VersionBody(Body):
+    """A version; prices in micro-units per million tokens."""
+
+    pool: str
+    input_price: int
+    output_price: int
+    context_tokens: int = 32_768
+    prior_quality: float = 0.5
+
+
+class UpstreamBody(Body):
+    """A server at `host:port`."""
+
+    address: str
+    zone: str
+
+
+class PoolBody(Body):
+    """Upstreams that run the same software."""
+
+    upstreams: list[UpstreamBody]
+    engine: bool = True
+
+
+class KindBody(Body):
+    """A kind of request with its quality target and times."""
+
+    quality_target: float
+    deadline_ms: int = 30_000
+    first_token_ms: int = 2_000
+    priority: int = 0
+    harmful: bool = False
+    idempotent: bool = True
+    max_output_tokens: int = 512
+
+
+class RouteBody(Body):
+    """A route of a plain service."""
+
+    method: str
+    prefix: str
+    repeatable: bool
+
+
+class ServiceBody(Body):
+    """A plain service."""
+
+    pool: str
+    routes: list[RouteBody]
+    timeout_ms: int = 10_000
+
+
+class StageBody(Body):
+    """A stage of a roll-out."""
+
+    share: float
+    min_rated: int
+    max_unrated: int
+
+
+class RolloutBody(Body):
+    """A move from one version of a model to another."""
+
+    model: str
+    from_version: str
+    to_version: str
+    stages: list[StageBody]
+
+
+BODIES: dict[str, type[Body]] = {
+    "organisations": OrganisationBody,
+    "versions": VersionBody,
+    "pools": PoolBody,
+    "kinds": KindBody,
+    "services": ServiceBody,
+    "rollouts": RolloutBody,
+}
+"""Models by section."""
