--- a/packages/amaranthlug/src/amaranthlug/state/records.py
+++ b/packages/amaranthlug/src/amaranthlug/state/records.py
@@ -43,10 +43,14 @@
     Attributes:
         withdrawals: Version to its highest withdrawn epoch.
         readmissions: Version to its highest readmitted epoch.
+        position: Offset of the last record folded into it. Other records may
+            be appended between the taking and the writing of a snapshot, so a
+            reader needs every record after this one.
     """
 
     revision: int
     parts: dict[str, dict[str, Any]]
+    position: int = -1
     withdrawals: dict[str, int] = {}
     readmissions: dict[str, int] = {}
 
@@ -143,6 +147,13 @@
     holder: str
 
 
+class UnknownRecord(Record, tag="unknown"):
+    """Stands for a record that this release cannot read.
+
+    Folds skip it, but it keeps its offset, so that they see no gap.
+    """
+
+
 AnyRecord = (
     Publication
     | ConfigSnapshot
@@ -153,6 +164,7 @@
     | LeaseClaim
     | BillChunk
     | RolloutStep
+    | UnknownRecord
 )
 
 
