--- a/packages/amaranthlug/src/amaranthlug/coordination/log_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/log_follower.py
@@ -77,6 +77,8 @@
     Attributes:
         snapshot_sources: Each gives a record that stands for all records up
             to the position, for peers that start while the log is out.
+        incomplete: Tells whether a fold lacks records that have expired; a
+            peer's snapshot is then asked for.
     """
 
     name = "log"
@@ -102,6 +104,7 @@
         self.store = store or LogStore()
         self.calls: list[Callable[[LogEntry], None]] = []
         self.snapshot_sources: list[SnapshotSource] = []
+        self.incomplete: Callable[[], bool] = lambda: False
         self.offset = -1
         self.confirmed_at = -math.inf
         self.distrust_until = -math.inf
@@ -273,7 +276,7 @@
     def incoming(self, sender: str, section: dict[str, Any]) -> None:
         """Learns a peer's position and confirmation."""
         position = int(section["position"])
-        if position > self.offset:
+        if position > self.offset or self.incomplete():
             self.ahead = sender
             self.peer_ahead.set()
             return
@@ -302,7 +305,7 @@
 
     def fetch(self, address: str) -> None:
         """Fetches records from a peer until this node has reached it."""
-        from_snapshot = False
+        from_snapshot = self.incomplete()
         while True:
             at = self.timers.now()
             answer = self.link.call(
--- a/packages/amaranthlug/src/amaranthlug/coordination/log_writer.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/log_writer.py
@@ -206,7 +206,9 @@
                 if error is None:
                     return
                 unknown = error.effect_unknown
-                wait_s = max(wait_s, min(error.retry_after_s, RETRY_LAST_S))
+                if not unknown:
+                    asked_s = min(error.retry_after_s, RETRY_LAST_S)
+                    wait_s = max(wait_s, asked_s)
             self.metrics.incr("retried.log_append")
             gevent.sleep(self.timers.jittered(wait_s))
             wait_s = min(wait_s * 2, RETRY_LAST_S)
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/coordination/publishing.py
@@ -0,0 +1,337 @@
+"""Publishing, withdrawing and readmitting from an operator's machine.
+
+These functions act on the log alone and need no node. A publication waits
+while the log is out; whether it won is read from the log, never assumed.
+"""
+
+import dataclasses
+import math
+import time
+import uuid
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import gevent
+from result import Err, Ok, Result
+
+from amaranthlug.coordination.log_writer import LogWriter
+from amaranthlug.coordination.platform import (
+    LogService,
+    Metrics,
+    PlatformError,
+)
+from amaranthlug.coordination.timers import TimerService
+from amaranthlug.state.parts import Parts
+from amaranthlug.state.publications import (
+    Accepted,
+    ConfigState,
+    Verdict,
+    apply_entry,
+)
+from amaranthlug.state.record_codec import decode_record
+from amaranthlug.state.records import (
+    AnyRecord,
+    LogEntry,
+    Publication,
+    Readmission,
+    Withdrawal,
+)
+
+PAGE_RECORDS = 1_000
+STATUS_POLL_S = 0.1
+"""Period of asking nodes for the revision in force, in seconds."""
+
+
+@dataclasses.dataclass(frozen=True)
+class PublishError:
+    """Why nothing was published, or why that is not known.
+
+    Attributes:
+        winners: Publications that won a race, oldest first.
+        unknown: The record may be on the log.
+    """
+
+    message: str
+    winners: tuple[Accepted, ...] = ()
+    unknown: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Published:
+    """A publication in force on the log.
+
+    Attributes:
+        paths: Changed and deleted parts; empty when nothing differed.
+        seconds: Time from the start of the append to the verdict.
+    """
+
+    revision: int
+    paths: tuple[str, ...]
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class InForce:
+    """Nodes at which a revision is in force, with seconds until it was."""
+
+    seconds: dict[str, float]
+    missing: tuple[str, ...]
+
+
+class NoMetrics:
+    """Metrics of a command, which sends none."""
+
+    def incr(self, name: str, count: int = 1) -> None:
+        """Drops a count."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Drops a gauge."""
+
+    def timing(self, name: str, milliseconds: float) -> None:
+        """Drops a duration."""
+
+
+class LogSession:
+    """One command's view of the log, read from the first kept record."""
+
+    def __init__(
+        self,
+        log_service: LogService,
+        timeout_s: float,
+        timers: TimerService | None = None,
+        metrics: Metrics | None = None,
+    ):
+        """Creates a session that waits up to `timeout_s` for the log."""
+        self.log_service = log_service
+        self.timeout_s = timeout_s
+        self.timers = timers or TimerService()
+        self.metrics = metrics or NoMetrics()
+        self.state = ConfigState()
+        self.verdicts: dict[str, Verdict] = {}
+        self.calls: list[Callable[[LogEntry], object]] = []
+
+    def read(self) -> Result[ConfigState, PlatformError]:
+        """Reads to the end of the log, waiting out a short outage."""
+        deadline = self.timers.now() + self.timeout_s
+        while True:
+            read = self.log_service.read(self.state.position, PAGE_RECORDS, 0)
+            if isinstance(read, Err):
+                if read.err_value.expired and self.state.position >= 0:
+                    self.state = ConfigState()
+                elif self.timers.now() > deadline:
+                    return read
+                gevent.sleep(self.timers.jittered(0.2))
+                continue
+            page = read.ok_value
+            for raw in page.records:
+                self.apply(decode_record(raw.offset, raw.record))
+            if not page.records or self.state.position + 1 >= page.end:
+                return Ok(self.state)
+
+    def apply(self, entry: LogEntry) -> None:
+        """Folds an entry and keeps the verdict on each publication."""
+        self.state, verdict = apply_entry(self.state, entry)
+        if verdict is not None:
+            known = self.verdicts.get(verdict.id)
+            # The second copy of an accepted publication is rejected.
+            if known is None or not known.accepted:
+                self.verdicts[verdict.id] = verdict
+        for call in self.calls:
+            call(entry)
+
+    def append(self, record: AnyRecord) -> Result[int, PlatformError]:
+        """Appends a record with one effect, waiting out an outage."""
+        writer = LogWriter(
+            self.log_service,
+            lambda: self.state.position,
+            self.timers,
+            self.metrics,
+            append_wait_s=self.timeout_s,
+        )
+        writer.start()
+        try:
+            return writer.append(record)
+        finally:
+            writer.stop()
+
+
+def diff_parts(
+    in_force: Parts, wanted: Parts
+) -> tuple[dict[str, dict[str, Any]], list[str]]:
+    """Returns changed parts and deleted paths that lead to `wanted`."""
+    changed = {
+        path: dict(body)
+        for path, body in wanted.items()
+        if in_force.get(path) != body
+    }
+    return changed, sorted(in_force.keys() - wanted.keys())
+
+
+def publish_parts(
+    session: LogSession, parts: Parts, operator: str, base: int | None
+) -> Result[Published, PublishError]:
+    """Publishes the difference between `parts` and what is in force.
+
+    Args:
+        session: The log.
+        parts: The whole wanted configuration.
+        operator: Named to whoever loses a race against this publication.
+        base: Revision that the change was made against; None for the one in
+            force now.
+    """
+    read = session.read()
+    if isinstance(read, Err):
+        return Err(log_failed(read.err_value))
+    state = read.ok_value
+    if not state.settled:
+        return Err(
+            PublishError(
+                "records of the log have expired and no snapshot covers them; "
+                "publish again when a node has written a snapshot"
+            )
+        )
+    if base is not None and base != state.revision:
+        return Err(lost_race(base, state))
+    changed, deleted = diff_parts(state.parts, parts)
+    if not changed and not deleted:
+        return Ok(Published(state.revision, (), 0.0))
+    record = Publication(
+        id=f"publication-{uuid.uuid4().hex}",
+        at=time.time(),
+        operator=operator,
+        base=state.revision,
+        parts=changed,
+        deleted=deleted,
+    )
+    began = session.timers.now()
+    verdict = decide(session, record)
+    if isinstance(verdict, Err):
+        return verdict
+    if not verdict.ok_value.accepted:
+        found = verdict.ok_value
+        return Err(PublishError(str(found), winners=found.winners))
+    paths = tuple(sorted({*changed, *deleted}))
+    seconds = session.timers.now() - began
+    return Ok(Published(verdict.ok_value.offset, paths, seconds))
+
+
+def decide(
+    session: LogSession, record: Publication
+) -> Result[Verdict, PublishError]:
+    """Appends a publication and reads the verdict from the log."""
+    appended = session.append(record)
+    if isinstance(appended, Err) and not appended.err_value.effect_unknown:
+        return Err(log_failed(appended.err_value))
+    session.read()
+    verdict = session.verdicts.get(record.id)
+    if verdict is not None:
+        return Ok(verdict)
+    return Err(
+        PublishError(
+            "the log did not tell whether the publication took effect; "
+            "read `status`, then publish again if it is not in force",
+            unknown=True,
+        )
+    )
+
+
+def lost_race(base: int, state: ConfigState) -> PublishError:
+    """Returns the error of a change against a revision not in force."""
+    winners = tuple(won for won in state.history if won.revision > base)
+    verdict = Verdict("", state.revision, "", False, winners=winners)
+    return PublishError(str(verdict), winners=winners)
+
+
+def log_failed(error: PlatformError) -> PublishError:
+    """Returns the error of a log that does not answer."""
+    return PublishError(
+        f"nothing was changed, the log failed: {error.message}; "
+        "publish again when it is back"
+    )
+
+
+def withdraw_version(
+    session: LogSession, version: str, reason: str, operator: str
+) -> Result[int, PublishError]:
+    """Withdraws a version; returns the epoch of the withdrawal."""
+    read = session.read()
+    if isinstance(read, Err):
+        return Err(log_failed(read.err_value))
+    state = read.ok_value
+    if f"versions/{version}" not in state.parts:
+        return Err(PublishError(f"{version} is not configured; see `status`"))
+    epoch = state.withdrawals.epoch(version)
+    if state.withdrawals.is_withdrawn(version):
+        return Ok(epoch)
+    record = Withdrawal(
+        id=f"withdrawal-{version}-{epoch}",
+        at=time.time(),
+        version=version,
+        epoch=epoch,
+        reason=reason,
+        operator=operator,
+    )
+    return written(session, record, epoch)
+
+
+def readmit_version(
+    session: LogSession, version: str, operator: str
+) -> Result[int, PublishError]:
+    """Readmits a version; returns the epoch whose withdrawal is lifted."""
+    read = session.read()
+    if isinstance(read, Err):
+        return Err(log_failed(read.err_value))
+    withdrawals = read.ok_value.withdrawals
+    if not withdrawals.is_withdrawn(version):
+        return Err(PublishError(f"{version} is not withdrawn; see `status`"))
+    epoch = withdrawals.withdrawn[version]
+    record = Readmission(
+        id=f"readmission-{version}-{epoch}",
+        at=time.time(),
+        version=version,
+        epoch=epoch,
+        operator=operator,
+    )
+    return written(session, record, epoch)
+
+
+def written(
+    session: LogSession, record: AnyRecord, epoch: int
+) -> Result[int, PublishError]:
+    """Appends a record whose effect does not depend on a race."""
+    appended = session.append(record)
+    if isinstance(appended, Err):
+        error = log_failed(appended.err_value)
+        unknown = appended.err_value.effect_unknown
+        return Err(dataclasses.replace(error, unknown=unknown))
+    return Ok(epoch)
+
+
+NodeStatus = Callable[[str], Result[dict[str, Any], str]]
+"""Returns /statusz of the node at an address."""
+
+
+def wait_in_force(
+    revision: int,
+    nodes: Sequence[str],
+    node_status: NodeStatus,
+    timeout_s: float,
+    timers: TimerService,
+) -> InForce:
+    """Waits until a revision, or a later one, is in force at all nodes."""
+    began = timers.now()
+    seconds: dict[str, float] = {}
+
+    def watch(address: str) -> None:
+        while timers.now() - began < timeout_s:
+            status = node_status(address)
+            if isinstance(status, Ok) and (
+                status.ok_value.get("revision", -math.inf) >= revision
+            ):
+                seconds[address] = timers.now() - began
+                return
+            gevent.sleep(timers.jittered(STATUS_POLL_S))
+
+    gevent.joinall([gevent.spawn(watch, node) for node in nodes], timeout_s)
+    missing = tuple(node for node in nodes if node not in seconds)
+    return InForce(seconds, missing)
--- a/packages/amaranthlug/src/amaranthlug/state/publications.py
+++ b/packages/amaranthlug/src/amaranthlug/state/publications.py
@@ -89,6 +89,8 @@
             covered them; publications then wait in `pending`.
         first: Offset of the first record since the last gap.
         pending: Publications seen since the last gap while incomplete.
+        exists: A snapshot that does not cover the gap shows that some
+            configuration is in force; no first publication is accepted then.
         history: Last accepted publications, oldest first.
     """
 
@@ -99,6 +101,7 @@
     complete: bool = True
     first: int = 0
     pending: tuple[tuple[int, Publication], ...] = ()
+    exists: bool = False
     history: tuple[Accepted, ...] = ()
 
     @property
@@ -106,6 +109,25 @@
         """Returns the revision in force, -1 before the first publication."""
         return self.catalog.revision
 
+    @property
+    def tentative(self) -> bool:
+        """Tells whether what is in force was accepted despite a gap.
+
+        A node without any configuration accepts a first publication although
+        earlier records have expired: a snapshot is always kept while nodes
+        live, so its absence means that nothing was in force.
+        """
+        return not self.complete and self.revision >= self.first
+
+    @property
+    def settled(self) -> bool:
+        """Tells whether the configuration follows from the records seen.
+
+        Without a complete history this holds only at the end of the log.
+        """
+        nothing = self.revision == -1 or self.tentative
+        return self.complete or (nothing and not self.exists)
+
     def snapshot(self, record_id: str, at: float = 0.0) -> ConfigSnapshot:
         """Returns a snapshot record of this state."""
         return ConfigSnapshot(
@@ -159,18 +181,13 @@
 def apply_publication(
     state: ConfigState, offset: int, record: Publication
 ) -> tuple[ConfigState, Verdict | None]:
-    """Accepts a publication whole, rejects it whole, or keeps it for later.
-
-    A node without any configuration and any snapshot accepts a first
-    publication although earlier records have expired: a snapshot is always
-    kept while nodes live, so its absence means that nothing was in force.
-    """
+    """Accepts a publication whole, rejects it whole, or keeps it for later."""
     if state.complete:
         return decided(state, offset, record)
     kept = dataclasses.replace(
         state, pending=(*state.pending, (offset, record))
     )
-    if state.revision == -1 or state.revision >= state.first:
+    if state.settled:
         return decided(kept, offset, record)
     return kept, None
 
@@ -230,8 +247,10 @@
     )
     state = dataclasses.replace(state, withdrawals=merged)
     reverts = record.revision < state.revision < state.first
-    if state.complete or reverts or record.position + 1 < state.first:
+    if state.complete or reverts:
         return state
+    if record.position + 1 < state.first:
+        return without_tentative(state) if record.revision >= 0 else state
     built = build_catalog(record.parts, record.revision)
     if isinstance(built, Err):
         return state
@@ -241,6 +260,7 @@
         catalog=built.ok_value,
         complete=True,
         pending=(),
+        exists=False,
         history=tuple(
             won for won in state.history if won.revision < state.first
         ),
@@ -249,3 +269,12 @@
         if offset > record.position:
             after, _ = decided(after, offset, publication)
     return after
+
+
+def without_tentative(state: ConfigState) -> ConfigState:
+    """Takes back a first publication after proof that it was not the first."""
+    if not state.tentative:
+        return dataclasses.replace(state, exists=True)
+    return dataclasses.replace(
+        state, exists=True, parts={}, catalog=Catalog(), history=()
+    )
