Add stand-ins of the platform

Cause: The node and its tests need a log, VM list, rating service, weight store, engines and plain services that speak the published protocol. Change: Add the stand-ins with fault switches and ground truth, and answers as pure functions. Conclusion: The stand-ins can be used in one process and as processes.

--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/engine.py
@@ -0,0 +1,234 @@
+"""Stand-in of a model engine: state, faults, orders and load report."""
+
+import collections
+import dataclasses
+import time
+import uuid
+from typing import Any
+
+import gevent
+
+from amaranthlug_standins import answers
+from amaranthlug_standins.answers import Quality
+from amaranthlug_standins.batch import Batch, Pace, Run
+from amaranthlug_standins.engine_routes import add_engine_routes
+from amaranthlug_standins.orders import SeenOrder
+from amaranthlug_standins.prefix_cache import PrefixCache
+from amaranthlug_standins.standin import StandIn, StandInConfig, run_main
+
+RUNS_BY_ID = 10_000
+"""Ended and running streams that can be found by id."""
+
+REPORT_PERIOD_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineConfig(StandInConfig):
+    """Configuration of an engine.
+
+    Attributes:
+        versions: Loaded versions as `model@version`.
+        qualities: Quality by `model@version`.
+        checks_fence: Whether orders with an old fence are rejected.
+        load_s: Seconds that loading a version takes.
+        load_lag_s: Age of the load that is reported.
+        cache_blocks: Size of the prefix cache, in blocks of 16 words.
+        event_lag_s: Delay of cache events.
+        event_gaps: Share of cache events that are never published.
+    """
+
+    zone: str = ""
+    versions: tuple[str, ...] = ("small@1",)
+    qualities: dict[str, Quality] = dataclasses.field(default_factory=dict)
+    pace: Pace = dataclasses.field(default_factory=Pace)
+    checks_fence: bool = True
+    load_s: float = 0.2
+    load_lag_s: float = 0.4
+    cache_blocks: int = 4_096
+    event_lag_s: float = 0.3
+    event_gaps: float = 0.05
+
+
+class EngineStandIn(StandIn):
+    """Engine with continuous batching over a time model."""
+
+    config_class = EngineConfig
+
+    def __init__(self, config: EngineConfig):
+        """Creates an engine that is not started."""
+        self.runs: list[Run] = []
+        self.by_id: collections.OrderedDict[str, Run] = (
+            collections.OrderedDict()
+        )
+        self.orders: list[SeenOrder] = []
+        self.reports: collections.deque[tuple[float, dict[str, Any]]] = (
+            collections.deque(maxlen=64)
+        )
+        self.batch = Batch(
+            config.pace,
+            lambda: float(self.faults.get("slow", 1.0)),
+            lambda: bool(self.faults.get("freeze")),
+        )
+        self.cache = PrefixCache(
+            config.cache_blocks,
+            config.event_lag_s,
+            config.event_gaps,
+            config.seed,
+        )
+        self.crashes = 0
+        self.set_up(config)
+        super().__init__(config)
+
+    def set_up(self, config: EngineConfig) -> None:
+        """Sets what a restart resets."""
+        self.versions = list(config.versions)
+        self.role = "mixed"
+        self.draining = False
+        self.fence = -1
+        self.applied: dict[str, int] = {}
+        self.boot_id = uuid.uuid4().hex
+
+    def add_routes(self) -> None:
+        """Adds the engine's interface."""
+        add_engine_routes(self)
+
+    def start(self) -> "EngineStandIn":
+        """Starts the batch loop, the load report and the servers."""
+        self.batch.start()
+        self.reporter = gevent.spawn(self.report)
+        super().start()
+        return self
+
+    def stop(self) -> None:
+        """Stops the loops and the servers."""
+        self.batch.stop()
+        self.reporter.kill(block=False)
+        super().stop()
+
+    def forget(self) -> None:
+        """Loses runs, caches and state as a crash does."""
+        self.crashes += 1
+        self.batch.crash()
+        self.by_id.clear()
+        self.cache.clear()
+        self.set_up(self.config)
+
+    def report(self) -> None:
+        """Records the load periodically, so that reports can lag."""
+        tokens = self.batch.tokens
+        while True:
+            gevent.sleep(REPORT_PERIOD_S)
+            rate = (self.batch.tokens - tokens) / REPORT_PERIOD_S
+            tokens = self.batch.tokens
+            self.reports.append((time.monotonic(), self.load_now(rate)))
+
+    def load_now(self, tokens_per_s: float) -> dict[str, Any]:
+        """Returns the load without lag."""
+        return {
+            "running": len(self.batch.running),
+            "waiting": len(self.batch.waiting),
+            "slots": self.config.pace.slots,
+            "cache_used": round(self.cache.used(), 4),
+            "tokens_per_s": tokens_per_s,
+            "versions": list(self.versions),
+            "draining": self.is_draining(),
+        }
+
+    def reported_load(self) -> dict[str, Any]:
+        """Returns the newest report that is old enough, with its age."""
+        now = time.monotonic()
+        lag_s = float(self.faults.get("load_lag_s", self.config.load_lag_s))
+        for at, load in reversed(self.reports):
+            if now - at >= lag_s:
+                return {**load, "age_s": round(now - at, 3)}
+        return {**self.load_now(0.0), "age_s": 0.0}
+
+    def is_draining(self) -> bool:
+        """Tells whether new requests are refused."""
+        return self.draining or bool(self.faults.get("drain"))
+
+    def remember(self, run: Run) -> None:
+        """Makes a run known by id and to the truth."""
+        self.runs.append(run)
+        self.by_id[run.request_id] = run
+        while len(self.by_id) > RUNS_BY_ID:
+            self.by_id.popitem(last=False)
+
+    def answer(self, prompt: str, version: str) -> tuple[list[str], bool]:
+        """Returns the words of an answer and whether they are good."""
+        digest = answers.prompt_digest(prompt)
+        seed = self.config.seed
+        quality = self.config.qualities.get(version, Quality())
+        good = answers.good_for_prompt(seed, prompt, version, quality)
+        bad_share = self.faults.get("bad_versions", {}).get(version, 0)
+        if answers.chance(seed, "turned", digest, version) < bad_share:
+            good = False
+        empty = float(self.faults.get("empty_share", 0))
+        if answers.chance(seed, "empty", digest, str(len(self.runs))) < empty:
+            return [], False
+        return answers.answer_words(prompt, version, good), good
+
+    def take_order(self, order: SeenOrder) -> bool:
+        """Applies an order once; False when its fence is old."""
+        self.orders.append(order)
+        if self.config.checks_fence and order.fence < self.fence:
+            order.outcome = "old_fence"
+            return False
+        self.fence = max(self.fence, order.fence)
+        if order.order_id in self.applied:
+            order.outcome = "repeated"
+            return True
+        self.applied[order.order_id] = order.fence
+        self.apply(order)
+        return True
+
+    def apply(self, order: SeenOrder) -> None:
+        """Carries out an order."""
+        if order.action == "load":
+            gevent.spawn_later(
+                self.config.load_s, self.load_version, order, self.boot_id
+            )
+        elif order.action == "unload":
+            if order.version in self.versions:
+                self.versions.remove(order.version)
+        elif order.action == "role":
+            self.role = order.version or "mixed"
+        elif order.action == "drain":
+            self.draining = True
+        else:
+            order.outcome = "unknown_action"
+
+    def load_version(self, order: SeenOrder, boot_id: str) -> None:
+        """Makes a version ready unless the engine restarted meanwhile."""
+        if boot_id == self.boot_id and order.version not in self.versions:
+            self.versions.append(order.version)
+
+    def seen(self) -> dict[str, Any]:
+        """Returns every run and every order."""
+        return {
+            "boot_id": self.boot_id,
+            "crashes": self.crashes,
+            "runs": [seen_run(run) for run in self.runs],
+            "orders": [dataclasses.asdict(order) for order in self.orders],
+        }
+
+
+def seen_run(run: Run) -> dict[str, Any]:
+    """Returns the truth about a run."""
+    return {
+        "request_id": run.request_id,
+        "version": run.version,
+        "digest": run.digest,
+        "organisation": run.organisation,
+        "prompt_tokens": run.prompt_tokens,
+        "first": run.first,
+        "generated": run.generated(),
+        "good": run.good,
+        "outcome": run.outcome,
+        "started_at": run.started_at,
+        "ended_at": run.ended_at,
+    }
+
+
+if __name__ == "__main__":
+    run_main(EngineStandIn)
