--- a/packages/amaranthlug/src/amaranthlug/protocol/upstream.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/upstream.py
@@ -36,12 +36,15 @@
         body: OpenAI request body; `model` is `model@version`.
         first_byte_s: Limit for the first token, in seconds.
         between_s: Limit between two reads, in seconds.
+        resume_after: Tokens received of a stream that this engine still runs;
+            `open` then resumes it instead of starting one.
     """
 
     request_id: str
     body: dict[str, Any]
     first_byte_s: float
     between_s: float
+    resume_after: int | None = None
 
 
 class EngineStream(Protocol):
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/transport/http_pool.py
@@ -0,0 +1,256 @@
+"""Pooled HTTP connections whose failures tell whether a byte has left."""
+
+import dataclasses
+import socket
+from collections.abc import Mapping
+from typing import Any
+
+from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import (
+    HTTPConnectionClosed,
+    HTTPParseError,
+    HTTPResponse,
+    HTTPSocketPoolResponse,
+)
+from result import Err, Ok, Result
+
+from amaranthlug.protocol.upstream import UpstreamError
+
+CONNECT_S = 1.0
+"""Limit for a TCP connect; upstreams are in the same region."""
+
+POOL_SIZE = 4_096
+"""Connections per address; above the in-flight bound, so none waits."""
+
+READ_BYTES = 65_536
+"""Bytes per read; many small events arrive together under load."""
+
+
+class PooledResponse(HTTPSocketPoolResponse):
+    """A response whose connection is reused only after `finish(True)`."""
+
+    accepted = False
+    _pool: ConnectionPool | None = None
+
+    def release(self) -> None:
+        """Gives the connection back unless a complete body is unchecked."""
+        if self.message_complete and not self.accepted:
+            return
+        super().release()
+
+    def _on_message_complete(self) -> None:
+        # The library's version returns the connection here, before the
+        # caller has checked the end marker.
+        HTTPResponse._on_message_complete(self)
+
+    def finish(self, reuse: bool) -> None:
+        """Ends use of the response; an incomplete one closes its socket."""
+        pool, sock = self._pool, self._sock
+        if reuse and self.message_complete:
+            self.accepted = True
+            self.release()
+        elif pool is not None and sock is not None:
+            self._pool = self._sock = None
+            pool.release_socket(sock)
+
+    def limit(self, seconds: float) -> None:
+        """Sets the time limit of each following read, in seconds."""
+        if self._sock is not None:
+            self._sock.settimeout(max(seconds, 0.001))
+
+    def read_some(self) -> bytes:
+        """Returns body bytes as they arrive, empty at the end of the body.
+
+        Raises:
+            OSError: The connection failed or the time limit passed.
+            HTTPParseError: The body ended early or is malformed.
+        """
+        while not self._body_buffer:
+            if self.message_complete:
+                return b""
+            if self._sock is None:
+                raise HTTPConnectionClosed("connection closed")
+            data = self._sock.recv(READ_BYTES)
+            self.feed(data)
+            if not data and not self.message_complete:
+                raise HTTPConnectionClosed("connection closed in the body")
+        block = bytes(self._body_buffer)
+        self._body_buffer.clear()
+        return block
+
+    def read_all(self) -> bytes:
+        """Returns the rest of the body; raises as `read_some`."""
+        parts = []
+        while part := self.read_some():
+            parts.append(part)
+        return b"".join(parts)
+
+
+class NoDelayPool(ConnectionPool):
+    """A connection pool without Nagle's delay for small writes."""
+
+    def after_connect(self, sock: Any) -> None:
+        """Turns on TCP_NODELAY."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def _is_socket_alive(self, sock: Any) -> bool:
+        # The library asks select(), which fails for descriptors above 1023.
+        try:
+            sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except (OSError, AttributeError):
+            return False
+        return False
+
+
+@dataclasses.dataclass(frozen=True)
+class HttpAnswer:
+    """A whole HTTP answer."""
+
+    status: int
+    content_type: str
+    retry_after_s: float | None
+    body: bytes
+
+
+def failure(address: str, error: Exception, sent: bool) -> UpstreamError:
+    """Returns the typed error of an exception while talking to `address`."""
+    if not sent:
+        reason = "connect"
+    elif isinstance(error, TimeoutError):
+        reason = "timeout"
+    elif isinstance(error, HTTPConnectionClosed | OSError):
+        reason = "reset"
+    else:
+        reason = "malformed"
+    text = f"{address}: {reason}: {error or type(error).__name__}"
+    return UpstreamError(address, reason, text, not_received=not sent)
+
+
+def retry_after(response: HTTPResponse) -> float | None:
+    """Returns the header `Retry-After` in seconds, None when absent."""
+    value = response.get("retry-after")
+    try:
+        return float(value) if isinstance(value, str) else None
+    except ValueError:
+        return None
+
+
+def request_head(
+    address: str, method: str, target: str, size: int, headers: Mapping
+) -> bytes:
+    """Returns the head of a request.
+
+    Raises:
+        ValueError: A header or the target holds a line break.
+    """
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    if size or method not in ("GET", "HEAD"):
+        lines.append(f"Content-Length: {size}")
+    if any("\r" in line or "\n" in line for line in lines):
+        raise ValueError("a header holds a line break")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+class HttpPools:
+    """Connection pools by address `host:port`; nothing is retried here."""
+
+    def __init__(self, connect_s: float = CONNECT_S, size: int = POOL_SIZE):
+        """Creates an empty set of pools."""
+        self.connect_s = connect_s
+        self.size = size
+        self.pools: dict[str, NoDelayPool] = {}
+
+    def pool(self, address: str) -> NoDelayPool:
+        """Returns the pool of an address."""
+        pool = self.pools.get(address)
+        if pool is None:
+            host, _, port = address.rpartition(":")
+            pool = NoDelayPool(
+                host,
+                int(port),
+                host,
+                int(port),
+                size=self.size,
+                connection_timeout=self.connect_s,
+            )
+            self.pools[address] = pool
+        return pool
+
+    def drop(self, address: str) -> None:
+        """Closes idle connections: after one went silent, others may be."""
+        pool = self.pools.pop(address, None)
+        if pool is not None:
+            pool.close()
+
+    def keep(self, addresses: set[str]) -> None:
+        """Closes the pools of all other addresses."""
+        for address in set(self.pools) - addresses:
+            self.drop(address)
+
+    def send(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        timeout_s: float,
+    ) -> Result[PooledResponse, UpstreamError]:
+        """Sends a request and returns the response after its head.
+
+        `timeout_s` limits each write and read until the head is complete.
+        """
+        head = request_head(address, method, target, len(body), headers)
+        pool = self.pool(address)
+        try:
+            sock = pool.get_socket()
+        except (OSError, RuntimeError) as error:
+            return Err(failure(address, error, sent=False))
+        sock.settimeout(max(timeout_s, 0.001))
+        try:
+            sock.sendall(head + body)
+        except OSError as error:
+            pool.release_socket(sock)
+            return Err(failure(address, error, sent=True))
+        try:
+            return Ok(PooledResponse(sock, pool=pool, method=method))
+        except (OSError, HTTPParseError) as error:
+            # The response has released its socket already.
+            if isinstance(error, TimeoutError):
+                self.drop(address)
+            return Err(failure(address, error, sent=True))
+
+    def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 5.0,
+    ) -> Result[HttpAnswer, UpstreamError]:
+        """Sends a request and returns the whole answer, whatever its status."""
+        sent = self.send(
+            address, method, target, body, headers or {}, timeout_s
+        )
+        if isinstance(sent, Err):
+            return sent
+        response = sent.ok_value
+        try:
+            content = response.read_all()
+        except (OSError, HTTPParseError) as error:
+            response.finish(reuse=False)
+            return Err(failure(address, error, sent=True))
+        response.finish(reuse=True)
+        kind = response.get("content-type")
+        return Ok(
+            HttpAnswer(
+                response.status_code,
+                kind if isinstance(kind, str) else "application/octet-stream",
+                retry_after(response),
+                content,
+            )
+        )
