--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/admission.py
@@ -0,0 +1,96 @@
+"""Admission: everything that is decided before a request is dispatched."""
+
+import time
+
+from result import Err, Ok, Result
+
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.protocol.pace import Pace
+from amaranthlug.protocol.refusals import refuse
+from amaranthlug.protocol.services import (
+    Biller,
+    CatalogView,
+    LimitGate,
+    RoutedRequest,
+)
+from amaranthlug.state.catalog import Organisation
+from amaranthlug.state.refusal import Refusal, RefusalCode
+
+OVERLOAD_RETRY_S = 1.0
+"""Wait asked of callers at the in-flight bound; most answers end by then."""
+
+
+class Admission:
+    """Bounds the work in flight and asks each gate in turn."""
+
+    def __init__(
+        self,
+        catalog: CatalogView,
+        biller: Biller,
+        limits: LimitGate,
+        metrics: Metrics,
+        pace: Pace,
+        bound: int,
+    ):
+        """Creates an admission with a bound of requests in flight."""
+        self.catalog = catalog
+        self.biller = biller
+        self.limits = limits
+        self.metrics = metrics
+        self.pace = pace
+        self.bound = bound
+        self.in_flight = 0
+
+    def may_serve(self) -> Result[None, Refusal]:
+        """Refuses when the configuration is absent or unconfirmed."""
+        return self.catalog.may_serve()
+
+    def reserve(self) -> Result[None, Refusal]:
+        """Takes a place in flight that `release` gives back."""
+        if self.in_flight >= self.bound:
+            return Err(
+                refuse(
+                    RefusalCode.OVERLOADED,
+                    f"{self.bound} requests are in flight on this node",
+                    "retry later or use another entry address",
+                    retry_after_s=OVERLOAD_RETRY_S,
+                )
+            )
+        self.in_flight += 1
+        return Ok(None)
+
+    def admit(
+        self, request: RoutedRequest, tokens: int
+    ) -> Result[None, Refusal]:
+        """Admits a parsed request; `LimitGate.done` must follow an Ok."""
+        time_left = request.deadline - time.monotonic()
+        if time_left <= 0:
+            return Err(
+                refuse(
+                    RefusalCode.DEADLINE_PASSED,
+                    "the deadline passed before dispatch",
+                    "send a later deadline",
+                )
+            )
+        if time_left < self.pace.fastest_first():
+            return Err(
+                refuse(
+                    RefusalCode.DEADLINE_UNREACHABLE,
+                    "no version starts an answer within the deadline",
+                    "send a later deadline",
+                )
+            )
+        return self.admit_use(request.organisation, tokens)
+
+    def admit_use(
+        self, organisation: Organisation, tokens: int
+    ) -> Result[None, Refusal]:
+        """Asks the bills and limits; `LimitGate.done` must follow an Ok."""
+        backlog = self.biller.may_admit()
+        if isinstance(backlog, Err):
+            return backlog
+        return self.limits.admit(organisation, tokens)
+
+    def release(self) -> None:
+        """Gives a place back."""
+        self.in_flight -= 1
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/attempt.py
@@ -0,0 +1,194 @@
+"""One attempt of a step at one server, with its counts ended exactly once."""
+
+import time
+from collections.abc import Iterator
+
+import gevent
+from result import Err, Ok, Result
+
+from amaranthlug.protocol.pace import Pace
+from amaranthlug.protocol.relay import AnswerMeter, events_of, payload_of
+from amaranthlug.protocol.services import (
+    RoutedRequest,
+    ServerChooser,
+    VersionChooser,
+)
+from amaranthlug.protocol.upstream import (
+    Engine,
+    EngineCall,
+    EngineStream,
+    StreamCutError,
+    UpstreamError,
+)
+from amaranthlug.state.catalog import Upstream, VersionId
+
+
+class Attempt:
+    """A step that runs at one server.
+
+    Attributes:
+        pending: Bytes for the caller that were read while waiting for the
+            first token.
+        first_s: Time to the first token in seconds, 0 until it came.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        chooser: VersionChooser,
+        servers: ServerChooser,
+        pace: Pace,
+        request: RoutedRequest,
+        version: VersionId,
+        upstream: Upstream,
+        meter: AnswerMeter,
+    ):
+        """Counts the attempt as started at a server picked before."""
+        self.engine = engine
+        self.chooser = chooser
+        self.servers = servers
+        self.pace = pace
+        self.request = request
+        self.version = version
+        self.upstream = upstream
+        self.meter = meter
+        self.base = meter.tokens
+        self.pending = b""
+        self.first_s = 0.0
+        self.started_at = time.monotonic()
+        self.stream: EngineStream | None = None
+        self.blocks: Iterator[bytes] = iter(())
+        self.open_ended = True
+        chooser.started(request, version)
+
+    def open(self, call: EngineCall) -> Result[None, UpstreamError]:
+        """Sends the call and waits for the first new token."""
+        opened = self.engine.open(self.upstream.address, call)
+        if isinstance(opened, Err):
+            return opened
+        self.stream = opened.ok_value
+        self.blocks = self.stream.blocks()
+        try:
+            self.read_first()
+        except StreamCutError as error:
+            self.drop()
+            return Err(error.error)
+        if self.first_s == 0.0:
+            self.first_s = max(time.monotonic() - self.started_at, 1e-6)
+        return Ok(None)
+
+    def read_first(self) -> None:
+        """Reads until a new token, the end or an error."""
+        meter = self.meter
+        before = meter.tokens
+        pending = []
+        while meter.tokens == before and not meter.ended:
+            block = next(self.blocks, None)
+            if block is None:
+                raise self.cut("cut", "the stream ended without [DONE]")
+            pending.append(meter.feed(block))
+            self.check_error()
+        self.pending = b"".join(pending)
+        if before:
+            # A continued stream repeats its opening event without content.
+            self.pending = content_events(self.pending)
+        if meter.tokens == 0:
+            raise self.cut("empty", "the engine sent an empty answer")
+
+    def read(self) -> Iterator[bytes]:
+        """Yields bytes for the caller until the end marker.
+
+        Raises:
+            StreamCutError: The stream ended early or reported an error.
+        """
+        meter = self.meter
+        if self.pending:
+            pending, self.pending = self.pending, b""
+            yield pending
+        if meter.ended:
+            return
+        for block in self.blocks:
+            out = meter.feed(block)
+            if meter.error is not None:
+                self.check_error()
+            if out:
+                yield out
+            if meter.ended:
+                return
+        raise self.cut("cut", "the stream ended without [DONE]")
+
+    def check_error(self) -> None:
+        """Raises an error event of the engine as a cut stream."""
+        error, self.meter.error = self.meter.error, None
+        if error is not None:
+            raise self.cut("status", f"the engine reported {error}")
+
+    def cut(self, reason: str, message: str) -> StreamCutError:
+        """Returns the error of a stream of this attempt."""
+        address = self.upstream.address
+        return StreamCutError(
+            UpstreamError(address, reason, f"{address}: {message}")
+        )
+
+    def reopen(self, call: EngineCall) -> Result[None, UpstreamError]:
+        """Resumes the stream on a new connection to the same server."""
+        self.drop()
+        return self.open(call)
+
+    def drop(self) -> None:
+        """Closes the connection."""
+        if self.stream is not None:
+            self.stream.close()
+            self.stream = None
+
+    def cancel(self) -> None:
+        """Stops the work upstream without waiting for the reply."""
+        self.drop()
+        gevent.spawn(
+            self.engine.cancel, self.upstream.address, self.request.request_id
+        )
+
+    def finish(self) -> None:
+        """Reads behind the end marker, so that the connection is reused."""
+        try:
+            for _ in self.blocks:
+                pass
+        except StreamCutError:
+            self.drop()
+
+    def end(self, outcome: str, answer: str, failed: bool) -> None:
+        """Reports the outcome to both choosers, at the first call only."""
+        if not self.open_ended:
+            return
+        self.open_ended = False
+        try:
+            self.servers.done(self.upstream.address, self.first_s, failed)
+        finally:
+            self.chooser.finished(
+                self.request,
+                self.version,
+                self.upstream.address,
+                outcome,
+                answer,
+            )
+        if outcome == "complete":
+            self.observe_pace()
+
+    def observe_pace(self) -> None:
+        """Adds this stream to the pace of its version."""
+        tokens = self.meter.tokens - self.base
+        spent = time.monotonic() - self.started_at - self.first_s
+        between = spent / (tokens - 1) if tokens > 1 else 0.0
+        self.pace.observe(self.version, self.first_s, between)
+
+
+def content_events(block: bytes) -> bytes:
+    """Returns the events of a block that carry content or an end."""
+    kept = []
+    for event in events_of(block):
+        probe = AnswerMeter()
+        probe.finish_reason = ""
+        probe.count(payload_of(event))
+        if probe.counted or probe.finish_reason:
+            kept.append(event)
+    return b"".join(kept)
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/chat.py
@@ -0,0 +1,273 @@
+"""Parses and validates chat requests into `RoutedRequest`."""
+
+import dataclasses
+import hashlib
+import time
+import uuid
+from typing import Any
+
+import msgspec
+import xxhash
+from result import Err, Ok, Result
+
+from amaranthlug.protocol.refusals import refuse
+from amaranthlug.protocol.services import RoutedRequest
+from amaranthlug.state.catalog import Catalog, Organisation, RequestKind
+from amaranthlug.state.refusal import Refusal, RefusalCode
+
+DEFAULT_KIND = "default"
+"""Kind of requests without the header `X-Request-Kind`, if configured."""
+
+BYTES_PER_TOKEN = 4
+"""Average bytes of a token, for estimates before the engine reports usage."""
+
+MAX_DEADLINE_MS = 3_600_000
+"""Longest deadline a caller may ask for, in milliseconds."""
+
+MAX_HEADER_CHARS = 256
+"""Bound of session ids and idempotency keys."""
+
+
+class ContentPart(msgspec.Struct, forbid_unknown_fields=True):
+    """One text part of a message."""
+
+    type: str
+    text: str
+
+
+class Message(msgspec.Struct, forbid_unknown_fields=True):
+    """One message of a conversation."""
+
+    role: str
+    content: str | list[ContentPart]
+    name: str | None = None
+
+
+class StreamOptions(msgspec.Struct, forbid_unknown_fields=True):
+    """Options of a streamed answer."""
+
+    include_usage: bool = False
+    include_obfuscation: bool = False
+
+
+class ChatBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Members of a chat request that the router knows."""
+
+    model: str
+    messages: list[Message]
+    stream: bool | None = None
+    stream_options: StreamOptions | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    temperature: float | None = None
+    top_p: float | None = None
+    n: int | None = None
+    stop: str | list[str] | None = None
+    seed: int | None = None
+    presence_penalty: float | None = None
+    frequency_penalty: float | None = None
+    logit_bias: dict[str, float] | None = None
+    response_format: dict[str, Any] | None = None
+    reasoning_effort: str | None = None
+    user: str | None = None
+    metadata: dict[str, str] | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerHeaders:
+    """Headers of a call that the router reads; empty when absent."""
+
+    authorization: str = ""
+    kind: str = ""
+    session_id: str = ""
+    idempotency_key: str = ""
+    deadline_ms: str = ""
+
+
+def bad_request(message: str, remedy: str) -> Err[Refusal]:
+    """Returns a refusal of a malformed request."""
+    return Err(refuse(RefusalCode.BAD_REQUEST, message, remedy))
+
+
+def authenticate(
+    authorization: str, catalog: Catalog
+) -> Result[Organisation, Refusal]:
+    """Returns the organisation that owns the bearer key."""
+    scheme, _, key = authorization.partition(" ")
+    if scheme.lower() != "bearer" or not key.strip():
+        return Err(
+            refuse(
+                RefusalCode.MISSING_KEY,
+                "no bearer key in the header Authorization",
+                "send 'Authorization: Bearer KEY'",
+            )
+        )
+    digest = hashlib.sha256(key.strip().encode()).hexdigest()
+    organisation = catalog.organisation_by_digest(digest)
+    if organisation is None:
+        return Err(
+            refuse(
+                RefusalCode.UNKNOWN_KEY,
+                "the key belongs to no organisation",
+                "check the key or ask the operator for a new one",
+            )
+        )
+    return Ok(organisation)
+
+
+def too_large(bound: int) -> Refusal:
+    """Returns the refusal of a body above the bound, in bytes."""
+    return refuse(
+        RefusalCode.BODY_TOO_LARGE,
+        f"the body exceeds {bound} bytes",
+        "shorten the messages",
+    )
+
+
+def decode_body(raw: bytes) -> Result[tuple[dict, ChatBody], Refusal]:
+    """Decodes a body and checks its members."""
+    try:
+        body = msgspec.json.decode(raw, type=dict[str, Any])
+        chat = msgspec.convert(body, ChatBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return bad_request(
+            f"the body is not a valid chat request: {error}",
+            "send an OpenAI chat completion request in JSON",
+        )
+    if not chat.messages:
+        return bad_request("messages is empty", "send at least one message")
+    if chat.n not in (None, 1):
+        return bad_request("n is not 1", "send one request per answer")
+    limits = (chat.max_tokens, chat.max_completion_tokens)
+    if any(limit is not None and limit < 1 for limit in limits):
+        return bad_request(
+            "the token limit is below 1", "ask for at least one token"
+        )
+    return Ok((body, chat))
+
+
+def find_kind(name: str, catalog: Catalog) -> Result[RequestKind, Refusal]:
+    """Returns the kind that a request names."""
+    kind = catalog.kinds.get(name or DEFAULT_KIND)
+    if kind is None:
+        return Err(
+            refuse(
+                RefusalCode.UNKNOWN_KIND,
+                f"request kind {name or DEFAULT_KIND!r} is not configured",
+                "send one of the configured kinds in X-Request-Kind",
+            )
+        )
+    return Ok(kind)
+
+
+def deadline_of(text: str, kind: RequestKind) -> Result[float, Refusal]:
+    """Returns the time to the deadline in seconds."""
+    if not text:
+        return Ok(kind.deadline_ms / 1_000)
+    try:
+        milliseconds = int(text)
+    except ValueError:
+        return bad_request(
+            "X-Deadline-Ms is not a whole number",
+            "send milliseconds from receipt",
+        )
+    if milliseconds <= 0:
+        return Err(
+            refuse(
+                RefusalCode.DEADLINE_PASSED,
+                "the deadline has passed",
+                "send a later deadline",
+            )
+        )
+    return Ok(min(milliseconds, MAX_DEADLINE_MS) / 1_000)
+
+
+def prompt_text(chat: ChatBody) -> str:
+    """Returns the text of all messages, one line for each."""
+    lines = []
+    for message in chat.messages:
+        if isinstance(message.content, str):
+            lines.append(message.content)
+        else:
+            lines.append("".join(part.text for part in message.content))
+    return "\n".join(lines)
+
+
+def body_digest(organisation: str, body: dict[str, Any]) -> str:
+    """Returns the hash of organisation and body, whatever its member order."""
+    kept = {
+        name: value
+        for name, value in body.items()
+        if name not in ("stream", "stream_options")
+    }
+    raw = msgspec.json.encode([organisation, kept], order="deterministic")
+    return xxhash.xxh3_128_hexdigest(raw)
+
+
+def request_id_of(organisation: str, key: str) -> str:
+    """Returns the id of a request; a repeated key gives the same id."""
+    if key:
+        return "key-" + xxhash.xxh3_128_hexdigest(
+            f"{organisation}|{key}".encode()
+        )
+    return "req-" + uuid.uuid4().hex
+
+
+def check_headers(headers: CallerHeaders) -> Result[None, Refusal]:
+    """Bounds the headers that become keys of tables."""
+    for value in (headers.session_id, headers.idempotency_key):
+        if len(value) > MAX_HEADER_CHARS:
+            return bad_request(
+                "X-Session-Id or Idempotency-Key is too long",
+                f"use at most {MAX_HEADER_CHARS} characters",
+            )
+    return Ok(None)
+
+
+def parse_chat(
+    raw: bytes, headers: CallerHeaders, catalog: Catalog
+) -> Result[RoutedRequest, Refusal]:
+    """Returns the validated request or why it is refused."""
+    found = authenticate(headers.authorization, catalog)
+    if isinstance(found, Err):
+        return found
+    organisation = found.ok_value
+    decoded = decode_body(raw)
+    if isinstance(decoded, Err):
+        return decoded
+    body, chat = decoded.ok_value
+    kind = find_kind(headers.kind, catalog)
+    if isinstance(kind, Err):
+        return kind
+    time_left = deadline_of(headers.deadline_ms, kind.ok_value)
+    if isinstance(time_left, Err):
+        return time_left
+    checked = check_headers(headers)
+    if isinstance(checked, Err):
+        return checked
+    prompt = prompt_text(chat)
+    return Ok(
+        RoutedRequest(
+            request_id=request_id_of(
+                organisation.name, headers.idempotency_key
+            ),
+            organisation=organisation,
+            kind=kind.ok_value,
+            model=chat.model,
+            body=body,
+            stream=bool(chat.stream),
+            deadline=time.monotonic() + time_left.ok_value,
+            prompt_tokens=max(1, len(prompt.encode()) // BYTES_PER_TOKEN),
+            digest=body_digest(organisation.name, body),
+            prompt=prompt,
+            session_id=headers.session_id,
+            idempotency_key=headers.idempotency_key,
+        )
+    )
+
+
+def output_limit(request: RoutedRequest) -> int:
+    """Returns the most tokens that an answer may have."""
+    body = request.body
+    limit = body.get("max_completion_tokens") or body.get("max_tokens")
+    return limit or request.kind.max_output_tokens
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/dispatch.py
@@ -0,0 +1,349 @@
+"""Dispatch: from a caller's request to its answer."""
+
+import logging
+
+from result import Err, Ok, Result
+
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.protocol.admission import Admission
+from amaranthlug.protocol.answer_stream import (
+    Relay,
+    RelayFailedError,
+    StreamAnswer,
+    WholeAnswer,
+)
+from amaranthlug.protocol.chat import CallerHeaders, output_limit, parse_chat
+from amaranthlug.protocol.poison import Suspects, poison_digest
+from amaranthlug.protocol.refusals import refuse
+from amaranthlug.protocol.relay import replay_events
+from amaranthlug.protocol.sender import Sender, StepRun
+from amaranthlug.protocol.services import (
+    Biller,
+    CatalogView,
+    LimitGate,
+    Plan,
+    PlanStep,
+    RoutedRequest,
+    RunRegister,
+    SessionPins,
+    VersionChooser,
+)
+from amaranthlug.protocol.settlement import Settlement, run_scope
+from amaranthlug.state.catalog import VersionId
+from amaranthlug.state.refusal import Refusal, RefusalCode
+
+log = logging.getLogger(__name__)
+
+Delivery = Relay | tuple[Relay, list[bytes]]
+
+
+class ReplayedStream:
+    """A stored answer as a stream."""
+
+    def __init__(self, data: bytes, headers: dict[str, str]):
+        """Wraps rendered events."""
+        self.headers = headers
+        self.iterator = iter([data])
+
+    def __iter__(self) -> "ReplayedStream":
+        """Returns itself."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Returns the events once."""
+        return next(self.iterator)
+
+
+Answer = WholeAnswer | StreamAnswer | ReplayedStream
+
+
+class Dispatcher:
+    """Answers chat requests; each is settled exactly once."""
+
+    def __init__(
+        self,
+        catalog: CatalogView,
+        chooser: VersionChooser,
+        pins: SessionPins,
+        runs: RunRegister,
+        biller: Biller,
+        limits: LimitGate,
+        admission: Admission,
+        sender: Sender,
+        suspects: Suspects,
+        metrics: Metrics,
+    ):
+        """Creates a dispatcher."""
+        self.catalog = catalog
+        self.chooser = chooser
+        self.pins = pins
+        self.runs = runs
+        self.biller = biller
+        self.limits = limits
+        self.admission = admission
+        self.sender = sender
+        self.suspects = suspects
+        self.metrics = metrics
+
+    def handle(
+        self, raw: bytes, headers: CallerHeaders
+    ) -> Result[Answer, Refusal]:
+        """Returns the answer to a body, or its refusal."""
+        answered = self.try_handle(raw, headers)
+        if isinstance(answered, Err):
+            self.metrics.incr(f"refused.{answered.err_value.code}")
+        return answered
+
+    def try_handle(
+        self, raw: bytes, headers: CallerHeaders
+    ) -> Result[Answer, Refusal]:
+        """Admits, parses and runs a request."""
+        serving = self.admission.may_serve()
+        if isinstance(serving, Err):
+            return serving
+        parsed = parse_chat(raw, headers, self.catalog.catalog())
+        if isinstance(parsed, Err):
+            return parsed
+        reserved = self.admission.reserve()
+        if isinstance(reserved, Err):
+            return reserved
+        request = parsed.ok_value
+        settlement = Settlement(
+            request,
+            self.admission,
+            self.biller,
+            self.limits,
+            self.runs,
+            self.metrics,
+        )
+        try:
+            answered = self.run(request, settlement)
+        except BaseException:
+            settlement.finish("error", ran=True)
+            raise
+        if isinstance(answered, Err):
+            # Steps of a cascade that ran before the failure are billed.
+            settlement.finish(
+                "cut" if settlement.use.steps else "refused",
+                ran=not answered.err_value.not_run,
+            )
+        return answered
+
+    def run(
+        self, request: RoutedRequest, settlement: Settlement
+    ) -> Result[Answer, Refusal]:
+        """Runs a request that has a place in flight."""
+        stored = self.begin(request, settlement)
+        if isinstance(stored, Err):
+            return stored
+        if stored.ok_value is not None:
+            settlement.finish("repeated")
+            return Ok(stored.ok_value)
+        tokens = request.prompt_tokens + output_limit(request)
+        admitted = self.admission.admit(request, tokens)
+        if isinstance(admitted, Err):
+            return admitted
+        settlement.admitted = True
+        digest = poison_digest(request)
+        safe = self.suspects.admit(digest)
+        if isinstance(safe, Err):
+            return safe
+        settlement.cleanups.append(lambda: self.suspects.finished(digest))
+        return self.run_plan(request, settlement)
+
+    def begin(
+        self, request: RoutedRequest, settlement: Settlement
+    ) -> Result[Answer | None, Refusal]:
+        """Registers a keyed request; returns the answer of an earlier run."""
+        if not request.idempotency_key:
+            return Ok(None)
+        begun = self.runs.begin(
+            run_scope(request),
+            request.idempotency_key,
+            request.digest,
+            request.kind.idempotent,
+        )
+        if isinstance(begun, Err):
+            return begun
+        ticket = begun.ok_value
+        if ticket.run:
+            settlement.keyed = True
+            return Ok(None)
+        if ticket.answer is None:
+            return Err(
+                refuse(
+                    RefusalCode.UNKNOWN_OUTCOME,
+                    "an earlier request with this key ran without an answer",
+                    "check the effect before sending a new key",
+                    not_run=False,
+                )
+            )
+        extra = ticket.answer.get("amaranthlug", {})
+        version = VersionId(extra.get("model", ""), extra.get("version", ""))
+        headers = answer_headers(request, version)
+        if request.stream:
+            return Ok(ReplayedStream(replay_events(ticket.answer), headers))
+        headers["X-Cost"] = str(extra.get("cost", 0))
+        return Ok(WholeAnswer(ticket.answer, headers))
+
+    def run_plan(
+        self, request: RoutedRequest, settlement: Settlement
+    ) -> Result[Answer, Refusal]:
+        """Chooses and runs; chooses anew once if a version was withdrawn."""
+        for last_choice in (False, True):
+            planned = self.plan(request)
+            if isinstance(planned, Err):
+                return planned
+            plan, moved = planned.ok_value
+            ran = self.run_steps(request, plan, settlement)
+            if isinstance(ran, Ok):
+                return self.deliver(request, ran.ok_value, settlement, moved)
+            refusal = ran.err_value
+            stale = refusal.code == RefusalCode.NO_VERSION and refusal.not_run
+            if last_choice or not stale:
+                break
+        return Err(refusal)
+
+    def plan(self, request: RoutedRequest) -> Result[tuple[Plan, str], Refusal]:
+        """Returns the plan and why a session was moved, if it was."""
+        if not request.session_id:
+            return self.chooser.choose(request, None).map(lambda p: (p, ""))
+        owner = request.organisation.name
+        found = self.pins.lookup(owner, request.session_id)
+        if isinstance(found, Err):
+            return found
+        pinned, moved = found.ok_value, ""
+        if pinned is not None:
+            moved = self.moved(request, pinned)
+            if not moved:
+                return self.chooser.choose(request, pinned).map(
+                    lambda p: (p, "")
+                )
+        chosen = self.chooser.choose(request, None)
+        if isinstance(chosen, Err):
+            return chosen
+        # The last step meets the target without a check, so a session that
+        # stays on one version is pinned to that one.
+        proposal = chosen.ok_value.steps[-1].version
+        kept = self.pins.pin(owner, request.session_id, proposal)
+        if isinstance(kept, Err):
+            return kept
+        return self.chooser.choose(request, kept.ok_value).map(
+            lambda p: (p, moved)
+        )
+
+    def moved(self, request: RoutedRequest, pinned: VersionId) -> str:
+        """Returns why a pinned version cannot be kept, empty if it can."""
+        if self.catalog.is_withdrawn(pinned):
+            return "withdrawn"
+        catalog = self.catalog.catalog()
+        owner = catalog.organisations.get(request.organisation.name)
+        if owner is None or pinned not in owner.allowed:
+            return "not_allowed"
+        return "" if pinned in catalog.versions else "not_allowed"
+
+    def run_steps(
+        self, request: RoutedRequest, plan: Plan, settlement: Settlement
+    ) -> Result[Delivery, Refusal]:
+        """Runs the steps in order until one can be delivered."""
+        steps = plan.steps
+        if not request.kind.idempotent:
+            # A cascade may run a request again; only its last step needs no
+            # check.
+            steps = steps[-1:]
+        result: Result[Delivery, Refusal] = Err(
+            refuse(RefusalCode.NO_VERSION, "the plan is empty", "retry later")
+        )
+        received = False
+        for number, plan_step in enumerate(steps, 1):
+            step = StepRun(request, plan_step.version, received=received)
+            last = number == len(steps)
+            result = self.run_step(step, plan_step, last, settlement)
+            if isinstance(result, Ok):
+                return result
+            received = step.received
+        return result
+
+    def run_step(
+        self,
+        step: StepRun,
+        plan_step: PlanStep,
+        last: bool,
+        settlement: Settlement,
+    ) -> Result[Delivery, Refusal]:
+        """Runs one step; a checked one is read whole before delivery."""
+        record = self.catalog.catalog().versions.get(plan_step.version)
+        opened = self.sender.open(step)
+        if isinstance(opened, Err):
+            return opened
+        if record is None:
+            raise AssertionError("a version that may be sent to is known")
+        relay = Relay(self.sender, step, opened.ok_value, record)
+        if last or not plan_step.check:
+            return Ok(relay)
+        try:
+            held = list(relay.blocks())
+        except RelayFailedError as error:
+            relay.attempt.end("error", "", failed=True)
+            relay.count_use(settlement)
+            return Err(error.refusal)
+        text = step.meter.text
+        if self.chooser.passes_check(step.request, step.version, text):
+            return Ok((relay, held))
+        relay.attempt.end("complete", text, failed=False)
+        relay.attempt.finish()
+        relay.count_use(settlement)
+        self.metrics.incr("cascade.escalated")
+        return Err(sender_check_failed(step))
+
+    def deliver(
+        self,
+        request: RoutedRequest,
+        delivery: Delivery,
+        settlement: Settlement,
+        moved: str,
+    ) -> Result[Answer, Refusal]:
+        """Returns the answer of a step, streamed or whole."""
+        relay, held = (
+            (delivery, None) if isinstance(delivery, Relay) else delivery
+        )
+        headers = answer_headers(request, relay.record.id)
+        if moved:
+            headers["X-Session-Moved"] = moved
+        if request.stream:
+            return Ok(StreamAnswer(relay, settlement, headers, held))
+        try:
+            if held is None:
+                for _ in relay.blocks():
+                    pass
+        except RelayFailedError as error:
+            relay.fail(settlement)
+            return Err(error.refusal)
+        except BaseException:
+            relay.leave(settlement)
+            raise
+        body = relay.complete(settlement)
+        relay.attempt.finish()
+        headers["X-Cost"] = str(settlement.use.cost)
+        return Ok(WholeAnswer(body, headers))
+
+
+def sender_check_failed(step: StepRun) -> Refusal:
+    """Returns the refusal of a checked step without a next one."""
+    return refuse(
+        RefusalCode.UPSTREAM_FAILED,
+        f"the answer of {step.version} did not pass its check",
+        "retry later",
+        not_run=False,
+    )
+
+
+def answer_headers(
+    request: RoutedRequest, version: VersionId
+) -> dict[str, str]:
+    """Returns the headers that every answer carries."""
+    return {
+        "X-Request-Id": request.request_id,
+        "X-Model": version.model,
+        "X-Version": version.version,
+    }
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/relay.py
@@ -0,0 +1,221 @@
+"""Meter of a relayed answer: raw blocks in, raw blocks out, text on demand."""
+
+import time
+from typing import Any
+
+import msgspec
+
+END_MARKER = b"data: [DONE]\n\n"
+FOLD_BYTES = 8_192
+"""Raw bytes kept before they are folded into text; bounds memory."""
+
+
+class Delta(msgspec.Struct):
+    """New part of a message."""
+
+    content: str | None = None
+
+
+class ChunkChoice(msgspec.Struct):
+    """One choice of a chunk."""
+
+    delta: Delta | None = None
+    finish_reason: str | None = None
+
+
+class Chunk(msgspec.Struct):
+    """The members of a chunk that the meter reads."""
+
+    choices: list[ChunkChoice] = []
+    usage: dict[str, Any] | None = None
+    error: Any = None
+
+
+DECODER = msgspec.json.Decoder(Chunk)
+
+
+def events_of(block: bytes) -> list[bytes]:
+    """Returns the events of a block, each with its blank line."""
+    return [part + b"\n\n" for part in block.split(b"\n\n") if part.strip()]
+
+
+def payload_of(event: bytes) -> bytes:
+    """Returns the data of an event, empty for comments."""
+    return b"".join(
+        line[5:].strip()
+        for line in event.split(b"\n")
+        if line.startswith(b"data:")
+    )
+
+
+def render(message: Any) -> bytes:
+    """Returns a server-sent event."""
+    return b"data: " + msgspec.json.encode(message) + b"\n\n"
+
+
+class AnswerMeter:
+    """Counts tokens and keeps the text of one answer.
+
+    Blocks pass through unparsed; the text is decoded in batches. Only blocks
+    that may hold usage, an error or the end marker are split at once.
+    """
+
+    def __init__(self) -> None:
+        """Creates an empty meter."""
+        self.raw: list[bytes] = []
+        self.raw_bytes = 0
+        self.parts: list[str] = []
+        self.counted = 0
+        self.finish_reason = "stop"
+        self.usage: dict[str, Any] = {}
+        self.last_event = b""
+        self.error: Any = None
+        self.ended = False
+
+    def feed(self, block: bytes) -> bytes:
+        """Takes a block and returns what may go to the caller now."""
+        if (
+            b'"usage"' in block
+            or b'"error"' in block
+            or block.endswith(END_MARKER)
+        ):
+            return b"".join([self.feed_event(e) for e in events_of(block)])
+        self.raw.append(block)
+        self.raw_bytes += len(block)
+        if self.raw_bytes > FOLD_BYTES:
+            self.fold()
+        return block
+
+    def feed_event(self, event: bytes) -> bytes:
+        """Takes one event; the last one with usage is held back."""
+        if event == END_MARKER:
+            self.ended = True
+            return b""
+        chunk = self.read(payload_of(event))
+        if chunk is None or chunk.error is not None:
+            return b""
+        if chunk.usage is None:
+            held, self.last_event = self.last_event, b""
+            return held + event
+        self.usage = chunk.usage
+        held, self.last_event = self.last_event, event
+        return held
+
+    def read(self, payload: bytes) -> Chunk | None:
+        """Decodes one event into the counts; None if there is no data."""
+        if not payload:
+            return None
+        self.fold()
+        return self.count(payload)
+
+    def count(self, payload: bytes) -> Chunk | None:
+        """Adds the content of an event."""
+        try:
+            chunk = DECODER.decode(payload)
+        except msgspec.MsgspecError as error:
+            self.error = f"malformed event: {error}"
+            return None
+        if chunk.error is not None:
+            self.error = chunk.error
+        for choice in chunk.choices:
+            if choice.delta is not None and choice.delta.content:
+                self.counted += 1
+                self.parts.append(choice.delta.content)
+            if choice.finish_reason:
+                self.finish_reason = choice.finish_reason
+        return chunk
+
+    def fold(self) -> None:
+        """Decodes the raw blocks kept so far."""
+        if not self.raw:
+            return
+        data, self.raw, self.raw_bytes = b"".join(self.raw), [], 0
+        for event in data.split(b"\n\n"):
+            payload = payload_of(event)
+            if payload:
+                self.count(payload)
+
+    @property
+    def tokens(self) -> int:
+        """Tokens received so far."""
+        self.fold()
+        return self.counted
+
+    @property
+    def text(self) -> str:
+        """Text received so far."""
+        self.fold()
+        if len(self.parts) > 1:
+            self.parts = ["".join(self.parts)]
+        return self.parts[0] if self.parts else ""
+
+    def usage_json(self, prompt_tokens: int) -> dict[str, int]:
+        """Returns OpenAI usage with the tokens that were counted."""
+        prompt = int(self.usage.get("prompt_tokens", prompt_tokens))
+        return {
+            "prompt_tokens": prompt,
+            "completion_tokens": self.tokens,
+            "total_tokens": prompt + self.tokens,
+        }
+
+
+def whole_answer(
+    meter: AnswerMeter,
+    request_id: str,
+    version: str,
+    usage: dict[str, int],
+    extra: dict[str, Any],
+) -> dict[str, Any]:
+    """Returns an answer in the OpenAI shape."""
+    message = {"role": "assistant", "content": meter.text}
+    return {
+        "id": request_id,
+        "object": "chat.completion",
+        "created": int(time.time()),
+        "model": version,
+        "choices": [
+            {
+                "index": 0,
+                "message": message,
+                "finish_reason": meter.finish_reason,
+            }
+        ],
+        "usage": usage,
+        "amaranthlug": extra,
+    }
+
+
+def closing_events(answer: dict[str, Any], last_event: bytes) -> bytes:
+    """Returns the usage chunk of an answer and the end marker."""
+    if last_event:
+        chunk = msgspec.json.decode(payload_of(last_event))
+    else:
+        chunk = {
+            "id": answer["id"],
+            "object": "chat.completion.chunk",
+            "created": answer["created"],
+            "model": answer["model"],
+            "choices": [],
+        }
+    chunk["usage"] = answer["usage"]
+    chunk["amaranthlug"] = answer["amaranthlug"]
+    return render(chunk) + END_MARKER
+
+
+def replay_events(answer: dict[str, Any]) -> bytes:
+    """Returns a stored answer as a stream."""
+    choice = answer["choices"][0]
+    chunk = {
+        "id": answer["id"],
+        "object": "chat.completion.chunk",
+        "created": answer["created"],
+        "model": answer["model"],
+        "choices": [
+            {
+                "index": 0,
+                "delta": choice["message"],
+                "finish_reason": choice["finish_reason"],
+            }
+        ],
+    }
+    return render(chunk) + closing_events(answer, b"")
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/retry_budget.py
@@ -0,0 +1,60 @@
+"""Budget that keeps retries from multiplying load during a failure."""
+
+import random
+from collections import OrderedDict
+
+RETRY_SHARE = 0.2
+"""Retries allowed per request."""
+BURST = 10.0
+"""Retries that may be saved up."""
+MAX_UPSTREAMS = 4_096
+"""Upstreams remembered; the least recently used one is dropped first."""
+BASE_WAIT_S = 0.01
+"""Longest wait before the first retry, in seconds; doubled for each next."""
+
+
+class RetryBudget:
+    """Retries allowed to this process, in all and towards each upstream.
+
+    The part of an upstream counts retries sent to it, so that one slow
+    server does not receive the retries of all the others.
+    """
+
+    def __init__(
+        self,
+        share: float = RETRY_SHARE,
+        burst: float = BURST,
+        seed: int | None = None,
+    ):
+        """Creates a full budget."""
+        self.share = share
+        self.burst = burst
+        self.random = random.Random(seed)
+        self.total = burst
+        self.upstreams: OrderedDict[str, float] = OrderedDict()
+
+    def earn(self, address: str) -> None:
+        """Counts a first attempt that goes to an upstream."""
+        self.total = min(self.burst, self.total + self.share)
+        left = self.upstreams.get(address, self.burst)
+        self.keep(address, min(self.burst, left + self.share))
+
+    def take(self, address: str) -> bool:
+        """Spends a retry towards an upstream; False when none is left."""
+        left = self.upstreams.get(address, self.burst)
+        if self.total < 1 or left < 1:
+            return False
+        self.total -= 1
+        self.keep(address, left - 1)
+        return True
+
+    def keep(self, address: str, left: float) -> None:
+        """Remembers what is left for an upstream."""
+        self.upstreams[address] = left
+        self.upstreams.move_to_end(address)
+        if len(self.upstreams) > MAX_UPSTREAMS:
+            self.upstreams.popitem(last=False)
+
+    def wait_s(self, retries: int) -> float:
+        """Returns a random wait before retry number `retries`, from 1."""
+        return self.random.uniform(0, BASE_WAIT_S * 2 ** (retries - 1))
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -0,0 +1,261 @@
+"""Sends a step to a server, and again elsewhere when a retry is allowed."""
+
+import dataclasses
+import time
+from typing import Any
+
+import gevent
+from result import Err, Ok, Result
+
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.protocol.attempt import Attempt
+from amaranthlug.protocol.chat import output_limit
+from amaranthlug.protocol.pace import Pace
+from amaranthlug.protocol.poison import Suspects, poison_digest
+from amaranthlug.protocol.refusals import refuse
+from amaranthlug.protocol.relay import AnswerMeter
+from amaranthlug.protocol.retry_budget import RetryBudget
+from amaranthlug.protocol.services import (
+    CatalogView,
+    RoutedRequest,
+    ServerChooser,
+    VersionChooser,
+)
+from amaranthlug.protocol.upstream import Engine, EngineCall, UpstreamError
+from amaranthlug.state.catalog import Upstream, VersionId
+from amaranthlug.state.refusal import Refusal, RefusalCode
+
+MAX_ATTEMPTS = 3
+"""Attempts of a step before its first token."""
+MAX_CRASHES = 2
+"""Attempts of a request that may end in a lost connection; a request that
+crashes each server that runs it must not reach a third."""
+CRASH_REASONS = frozenset({"reset", "cut"})
+FAILED_RETRY_S = 1.0
+"""Wait asked of callers after a failed upstream, in seconds."""
+
+
+@dataclasses.dataclass
+class StepRun:
+    """State of one step over its attempts.
+
+    Attributes:
+        received: An upstream may have received the step.
+        crashes: Attempts that ended in a lost connection.
+    """
+
+    request: RoutedRequest
+    version: VersionId
+    meter: AnswerMeter = dataclasses.field(default_factory=AnswerMeter)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    received: bool = False
+    crashes: int = 0
+    attempts: int = 0
+    last_error: UpstreamError | None = None
+
+    def time_left(self) -> float:
+        """Returns seconds to the deadline."""
+        return self.request.deadline - time.monotonic()
+
+
+class Sender:
+    """Opens attempts under the retry rules.
+
+    A non-idempotent request is retried only while no byte can have reached
+    an upstream. Any retry needs budget, time and a server not tried yet.
+    """
+
+    def __init__(
+        self,
+        catalog: CatalogView,
+        engine: Engine,
+        chooser: VersionChooser,
+        servers: ServerChooser,
+        budget: RetryBudget,
+        pace: Pace,
+        suspects: Suspects,
+        metrics: Metrics,
+    ):
+        """Creates a sender."""
+        self.catalog = catalog
+        self.engine = engine
+        self.chooser = chooser
+        self.servers = servers
+        self.budget = budget
+        self.pace = pace
+        self.suspects = suspects
+        self.metrics = metrics
+
+    def open(self, step: StepRun) -> Result[Attempt, Refusal]:
+        """Returns an attempt whose next token has arrived."""
+        while True:
+            allowed = self.may_send(step)
+            if isinstance(allowed, Err):
+                return allowed
+            picked = self.pick(step)
+            if isinstance(picked, Err):
+                return picked
+            attempt = self.start(step, picked.ok_value)
+            try:
+                opened = attempt.open(self.call(step))
+            except BaseException:
+                attempt.end("error", "", failed=False)
+                raise
+            if isinstance(opened, Ok):
+                step.received = True
+                return Ok(attempt)
+            self.note_failure(step, attempt, opened.err_value)
+            if not self.may_retry(step, opened.err_value):
+                return Err(self.failure(step))
+            self.metrics.incr(f"retried.{opened.err_value.reason}")
+            gevent.sleep(self.budget.wait_s(step.attempts))
+
+    def may_send(self, step: StepRun) -> Result[None, Refusal]:
+        """Checks the version at the moment of sending, not only of choice."""
+        version = step.version
+        name = step.request.organisation.name
+        owner = self.catalog.catalog().organisations.get(name)
+        known = version in self.catalog.catalog().versions
+        if owner is None or version not in owner.allowed or not known:
+            code, text = RefusalCode.VERSION_NOT_ALLOWED, "no longer allowed"
+        elif self.catalog.is_withdrawn(version):
+            code, text = RefusalCode.NO_VERSION, "withdrawn"
+        else:
+            return Ok(None)
+        if step.received:
+            return Err(self.failure(step))
+        remedy = "retry, or ask for another version"
+        return Err(refuse(code, f"{version} is {text}", remedy))
+
+    def pick(self, step: StepRun) -> Result[Upstream, Refusal]:
+        """Picks a server that was not tried and pays for a retry."""
+        picked = self.servers.pick(
+            step.request, step.version, frozenset(step.tried)
+        )
+        if isinstance(picked, Err):
+            if step.attempts == 0 and not step.received:
+                return picked
+            return Err(self.failure(step))
+        address = picked.ok_value.address
+        if step.attempts == 0:
+            self.budget.earn(address)
+        elif not self.budget.take(address):
+            self.servers.done(address, 0.0, False)
+            self.metrics.incr("retry_budget_empty")
+            return Err(self.failure(step))
+        return picked
+
+    def start(self, step: StepRun, upstream: Upstream) -> Attempt:
+        """Creates the next attempt of a step."""
+        step.attempts += 1
+        step.tried.add(upstream.address)
+        if step.meter.tokens == 0:
+            # An opening event without a token may be left from a failure.
+            step.meter = AnswerMeter()
+        return Attempt(
+            self.engine,
+            self.chooser,
+            self.servers,
+            self.pace,
+            step.request,
+            step.version,
+            upstream,
+            step.meter,
+        )
+
+    def call(self, step: StepRun, resume: bool = False) -> EngineCall:
+        """Returns the call of the next attempt or of a resumed stream."""
+        request, left = step.request, max(step.time_left(), 0.001)
+        between = min(left, self.pace.between_limit(step.version))
+        first = min(left, self.pace.first_limit(step.version, request.kind))
+        return EngineCall(
+            request.request_id,
+            engine_body(request, step.version, step.meter),
+            between if resume else first,
+            between,
+            step.meter.tokens if resume else None,
+        )
+
+    def note_failure(
+        self, step: StepRun, attempt: Attempt, error: UpstreamError
+    ) -> None:
+        """Ends a failed attempt and remembers what it means for retries."""
+        step.last_error = error
+        if not error.not_received:
+            step.received = True
+        if error.reason in CRASH_REASONS:
+            step.crashes += 1
+            self.suspects.crashed(poison_digest(step.request), error.address)
+        if error.reason == "timeout":
+            attempt.cancel()
+        attempt.drop()
+        outcome = "empty" if error.reason == "empty" else "error"
+        attempt.end(outcome, "", failed=True)
+
+    def may_retry(self, step: StepRun, error: UpstreamError) -> bool:
+        """Tells whether a failed step may be sent again."""
+        if step.time_left() <= 0 or step.attempts >= MAX_ATTEMPTS:
+            return False
+        if step.crashes >= MAX_CRASHES:
+            return False
+        return step.request.kind.idempotent or not step.received
+
+    def resume(
+        self, step: StepRun, attempt: Attempt, error: UpstreamError
+    ) -> Result[Attempt, Refusal]:
+        """Continues a cut stream after the last token received."""
+        if step.time_left() <= 0:
+            self.note_failure(step, attempt, error)
+            return Err(self.failure(step))
+        if error.reason in ("cut", "timeout"):
+            reopened = attempt.reopen(self.call(step, resume=True))
+            if isinstance(reopened, Ok):
+                self.metrics.incr("retried.resume")
+                return Ok(attempt)
+        self.note_failure(step, attempt, error)
+        if not self.may_retry(step, error):
+            return Err(self.failure(step))
+        self.metrics.incr(f"retried.{error.reason}")
+        return self.open(step)
+
+    def failure(self, step: StepRun) -> Refusal:
+        """Returns the final answer to a step that was given up."""
+        error = step.last_error
+        text = error.message if error else "no server answered"
+        wait = (error.retry_after_s if error else None) or FAILED_RETRY_S
+        late = error is not None and error.reason == "timeout"
+        if not step.received:
+            return refuse(
+                RefusalCode.POOL_EXHAUSTED,
+                f"no server of {step.version} could be reached: {text}",
+                "retry after the given time",
+                retry_after_s=wait,
+            )
+        return refuse(
+            RefusalCode.UPSTREAM_TIMEOUT
+            if late or step.time_left() <= 0
+            else RefusalCode.UPSTREAM_FAILED,
+            text,
+            "retry with the same Idempotency-Key",
+            not_run=False,
+            retry_after_s=wait,
+        )
+
+
+def engine_body(
+    request: RoutedRequest, version: VersionId, meter: AnswerMeter
+) -> dict[str, Any]:
+    """Returns the body of a call, continuing after the tokens received."""
+    body = dict(request.body)
+    body["model"] = str(version)
+    body["stream"] = True
+    body["stream_options"] = {"include_usage": True}
+    body["priority"] = request.kind.priority
+    body["request_id"] = request.request_id
+    body["max_tokens"] = output_limit(request)
+    body.pop("max_completion_tokens", None)
+    if meter.tokens:
+        body["continue_tokens"] = meter.tokens
+        so_far = {"role": "assistant", "content": meter.text}
+        body["messages"] = [*body["messages"], so_far]
+    return body
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/settlement.py
@@ -0,0 +1,117 @@
+"""Ends a request exactly once: bill, key, limits and place in flight."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.protocol.admission import Admission
+from amaranthlug.protocol.services import (
+    Biller,
+    LimitGate,
+    RoutedRequest,
+    RunRegister,
+)
+from amaranthlug.state.catalog import Version
+from amaranthlug.state.records import BillEntry
+
+
+@dataclasses.dataclass
+class Use:
+    """What a request used over all its steps; cost in micro-units."""
+
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    cost: int = 0
+    steps: int = 0
+
+    def add(self, version: Version, prompt: int, output: int) -> None:
+        """Adds a step."""
+        self.prompt_tokens += prompt
+        self.output_tokens += output
+        self.cost += version.cost(prompt, output)
+        self.steps += 1
+
+
+class Settlement:
+    """The end of one admitted request; only the first call has an effect."""
+
+    def __init__(
+        self,
+        request: RoutedRequest,
+        admission: Admission,
+        biller: Biller,
+        limits: LimitGate,
+        runs: RunRegister,
+        metrics: Metrics,
+    ):
+        """Creates the settlement of a request; `keyed` after `begin`."""
+        self.request = request
+        self.admission = admission
+        self.biller = biller
+        self.limits = limits
+        self.runs = runs
+        self.metrics = metrics
+        self.use = Use()
+        self.admitted = False
+        self.keyed = False
+        self.settled = False
+        self.cleanups: list[Callable[[], None]] = []
+
+    def finish(
+        self,
+        outcome: str,
+        version: str = "",
+        answer: dict[str, Any] | None = None,
+        ran: bool = True,
+    ) -> None:
+        """Bills what was used, frees or fills the key, releases the place."""
+        if self.settled:
+            return
+        self.settled = True
+        self.metrics.incr(f"requests.{outcome}")
+        try:
+            if self.use.steps:
+                self.bill(outcome, version)
+        finally:
+            self.release(answer, ran)
+
+    def bill(self, outcome: str, version: str) -> None:
+        """Records the one bill of the request."""
+        request, use = self.request, self.use
+        self.biller.record(
+            BillEntry(
+                request_id=request.request_id,
+                organisation=request.organisation.name,
+                kind=request.kind.name,
+                version=version,
+                prompt_tokens=use.prompt_tokens,
+                output_tokens=use.output_tokens,
+                cost=use.cost,
+                outcome=outcome,
+                steps=use.steps,
+            )
+        )
+
+    def release(self, answer: dict[str, Any] | None, ran: bool) -> None:
+        """Ends the key, the use of limits and the place in flight."""
+        request, use = self.request, self.use
+        try:
+            if self.keyed:
+                self.runs.end(
+                    run_scope(request), request.idempotency_key, answer, ran
+                )
+        finally:
+            try:
+                if self.admitted:
+                    tokens = use.prompt_tokens + use.output_tokens
+                    self.limits.done(request.organisation, tokens, use.cost)
+            finally:
+                self.admission.release()
+                for cleanup in self.cleanups:
+                    cleanup()
+
+
+def run_scope(request: RoutedRequest) -> str:
+    """Returns the scope of a request's key."""
+    return f"run|{request.organisation.name}"
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/transport/app.py
@@ -0,0 +1,287 @@
+"""Falcon app: endpoints of callers, operators and peers."""
+
+import dataclasses
+import logging
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import falcon
+import msgspec
+from result import Err
+
+from amaranthlug.coordination.peers import PeerHandlers
+from amaranthlug.protocol.chat import CallerHeaders, too_large
+from amaranthlug.protocol.dispatch import Dispatcher, WholeAnswer
+from amaranthlug.protocol.service_calls import ServiceCalls
+from amaranthlug.protocol.services import EntryView
+from amaranthlug.state.refusal import Refusal
+from amaranthlug.transport.statsd_metrics import StatsdMetrics
+
+log = logging.getLogger(__name__)
+
+PEER_BODY_BYTES = 16_000_000
+"""Bound of a message from a peer; a page of log records is the largest."""
+
+
+class PeerAuthenticator(Protocol):
+    """Checks who sent a peer message."""
+
+    def verify(self, header: str, body: bytes) -> bool:
+        """Tells whether the header `X-Peer-Auth` belongs to the body."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeView:
+    """What the app shows about its node.
+
+    Attributes:
+        entry_ttl_s: Seconds for which callers may cache entry addresses.
+        leaving: Tells whether the node is shutting down.
+        status: Returns the content of /statusz.
+        incarnation: Messages meant for another one get 410.
+    """
+
+    entry_ttl_s: float
+    leaving: Callable[[], bool]
+    status: Callable[[], dict[str, Any]]
+    incarnation: str
+
+
+def send_json(resp: falcon.Response, message: Any, status: int = 200) -> None:
+    """Sets a JSON body."""
+    resp.status = status
+    resp.content_type = "application/json"
+    resp.data = msgspec.json.encode(message)
+
+
+def send_refusal(resp: falcon.Response, refusal: Refusal) -> None:
+    """Sets the answer of a refused request."""
+    if refusal.retry_after_s is not None:
+        # The header takes whole seconds; rounding down could ask too early.
+        resp.set_header("Retry-After", str(-int(-refusal.retry_after_s // 1)))
+    send_json(resp, refusal.to_json(), refusal.status)
+
+
+def read_body(req: falcon.Request, bound: int) -> bytes | None:
+    """Returns the body, None when it exceeds the bound in bytes."""
+    if (req.content_length or 0) > bound:
+        return None
+    body = req.stream.read(bound + 1)
+    return body if len(body) <= bound else None
+
+
+def caller_headers(req: falcon.Request) -> CallerHeaders:
+    """Returns the headers that the router reads."""
+    return CallerHeaders(
+        authorization=req.get_header("Authorization") or "",
+        kind=req.get_header("X-Request-Kind") or "",
+        session_id=req.get_header("X-Session-Id") or "",
+        idempotency_key=req.get_header("Idempotency-Key") or "",
+        deadline_ms=req.get_header("X-Deadline-Ms") or "",
+    )
+
+
+class EntryResource:
+    """Entry addresses for callers."""
+
+    def __init__(self, entries: EntryView, node: NodeView):
+        """Creates the resource."""
+        self.entries = entries
+        self.node = node
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers with addresses, nearest zone first."""
+        entries = self.entries.entries(req.get_param("zone") or "")
+        listed = [{"address": a, "zone": zone} for a, zone in entries]
+        send_json(resp, {"entries": listed, "ttl_s": self.node.entry_ttl_s})
+
+
+class ChatResource:
+    """Chat completions."""
+
+    def __init__(self, dispatcher: Dispatcher, body_bytes: int):
+        """Creates the resource with a bound of the body."""
+        self.dispatcher = dispatcher
+        self.body_bytes = body_bytes
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers whole or as a stream."""
+        raw = read_body(req, self.body_bytes)
+        if raw is None:
+            refusal = too_large(self.body_bytes)
+            self.dispatcher.metrics.incr(f"refused.{refusal.code}")
+            # What is left of the body would be read as the next request.
+            resp.set_header("Connection", "close")
+            send_refusal(resp, refusal)
+            return
+        answered = self.dispatcher.handle(raw, caller_headers(req))
+        if isinstance(answered, Err):
+            send_refusal(resp, answered.err_value)
+            return
+        answer = answered.ok_value
+        if isinstance(answer, WholeAnswer):
+            send_json(resp, answer.body)
+        else:
+            resp.content_type = "text/event-stream"
+            resp.set_header("Cache-Control", "no-cache")
+            resp.stream = answer
+        for name, value in answer.headers.items():
+            resp.set_header(name, value)
+
+
+class ServiceSink:
+    """Calls to plain services."""
+
+    def __init__(self, calls: ServiceCalls, body_bytes: int):
+        """Creates the sink with a bound of the body."""
+        self.calls = calls
+        self.body_bytes = body_bytes
+
+    def __call__(
+        self,
+        req: falcon.Request,
+        resp: falcon.Response,
+        **kwargs: Any,
+    ) -> None:
+        """Passes a call on; the route gives `name` and `path`."""
+        raw = read_body(req, self.body_bytes)
+        if raw is None:
+            resp.set_header("Connection", "close")
+            send_refusal(resp, too_large(self.body_bytes))
+            return
+        target = falcon.uri.encode(kwargs.get("path") or "/")
+        if req.query_string:
+            target += f"?{req.query_string}"
+        answered = self.calls.handle(
+            kwargs["name"],
+            req.method,
+            target,
+            req.content_type or "",
+            caller_headers(req),
+            raw,
+        )
+        if isinstance(answered, Err):
+            send_refusal(resp, answered.err_value)
+            return
+        answer = answered.ok_value
+        resp.status = answer.status
+        resp.content_type = answer.content_type
+        resp.data = answer.body
+
+
+class PeerResource:
+    """Messages of peers."""
+
+    def __init__(
+        self,
+        handlers: PeerHandlers,
+        authenticator: PeerAuthenticator,
+        incarnation: str,
+    ):
+        """Creates the resource."""
+        self.handlers = handlers
+        self.authenticator = authenticator
+        self.incarnation = incarnation
+
+    def on_post(
+        self, req: falcon.Request, resp: falcon.Response, name: str
+    ) -> None:
+        """Passes an authentic message to its handler."""
+        raw = read_body(req, PEER_BODY_BYTES)
+        header = req.get_header("X-Peer-Auth") or ""
+        if raw is None or not self.authenticator.verify(header, raw):
+            send_json(resp, {"error": "not_authenticated"}, 401)
+            return
+        handler = self.handlers.handlers.get(name)
+        if handler is None:
+            send_json(resp, {"error": "unknown_message"}, 404)
+            return
+        try:
+            message = msgspec.json.decode(raw, type=dict[str, Any])
+        except msgspec.MsgspecError:
+            send_json(resp, {"error": "malformed_message"}, 400)
+            return
+        if message.get("to") not in (None, "", self.incarnation):
+            send_json(resp, {"error": "other_incarnation"}, 410)
+            return
+        send_json(resp, handler(message))
+
+
+class OperatorResource:
+    """Health, metrics and status."""
+
+    def __init__(self, node: NodeView, metrics: StatsdMetrics):
+        """Creates the resource."""
+        self.node = node
+        self.metrics = metrics
+
+    def on_get_health(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers 200, or 503 when leaving."""
+        leaving = self.node.leaving()
+        send_json(resp, {"leaving": leaving}, 503 if leaving else 200)
+
+    def on_get_metrics(
+        self, req: falcon.Request, resp: falcon.Response
+    ) -> None:
+        """Answers with counters, gauges and timings."""
+        send_json(resp, self.metrics.to_json())
+
+    def on_get_status(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers with the state of the node."""
+        send_json(resp, self.node.status())
+
+
+def log_failure(
+    req: falcon.Request,
+    resp: falcon.Response,
+    error: Exception,
+    params: dict[str, Any],
+) -> None:
+    """Logs an unexpected exception and answers 500."""
+    log.error("%s %s failed", req.method, req.path, exc_info=error)
+    send_json(resp, {"error": {"code": "internal", "not_run": False}}, 500)
+
+
+def create_app(
+    dispatcher: Dispatcher,
+    calls: ServiceCalls,
+    entries: EntryView,
+    handlers: PeerHandlers,
+    authenticator: PeerAuthenticator,
+    metrics: StatsdMetrics,
+    node: NodeView,
+    body_bytes: int,
+) -> falcon.App:
+    """Returns the WSGI app of a node."""
+    app = falcon.App()
+    app.add_error_handler(Exception, log_failure)
+    app.add_error_handler(falcon.HTTPError, send_http_error)
+    app.add_route("/v1/entry", EntryResource(entries, node))
+    app.add_route("/v1/chat/completions", ChatResource(dispatcher, body_bytes))
+    operator = OperatorResource(node, metrics)
+    app.add_route("/healthz", operator, suffix="health")
+    app.add_route("/metricsz", operator, suffix="metrics")
+    app.add_route("/statusz", operator, suffix="status")
+    peer = PeerResource(handlers, authenticator, node.incarnation)
+    app.add_route("/peer/{name}", peer)
+    sink = ServiceSink(calls, body_bytes)
+    app.add_sink(sink, r"/v1/services/(?P<name>[^/]+)(?P<path>/.*)?$")
+    return app
+
+
+def send_http_error(
+    req: falcon.Request,
+    resp: falcon.Response,
+    error: falcon.HTTPError,
+    params: dict[str, Any],
+) -> None:
+    """Answers an unknown path or method in the shape of refusals."""
+    body = {
+        "code": "bad_request",
+        "message": error.title or "unknown path or method",
+        "remedy": "see the list of endpoints",
+        "not_run": True,
+        "retry_after_s": None,
+    }
+    send_json(resp, {"error": body}, error.status_code)
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/transport/server.py
@@ -0,0 +1,101 @@
+"""Gevent server of a node with a shutdown that cuts no request."""
+
+import errno
+import logging
+import socket
+import time
+from typing import Any
+
+import gevent
+from gevent import pywsgi
+
+log = logging.getLogger(__name__)
+
+STALL_S = 30.0
+"""A caller that accepts or sends no byte for this long is cut, in seconds."""
+
+IDLE_CHECK_S = 0.05
+"""Period of checks for running requests during a shutdown, in seconds."""
+
+QUIET_S = 1.0
+"""Time without any request before the listener closes, in seconds."""
+
+BACKLOG = 1_024
+"""Connections that wait for acceptance."""
+
+
+class NodeHandler(pywsgi.WSGIHandler):
+    """Handler of one connection that counts its running request."""
+
+    ignored_socket_errors = (errno.EPIPE, errno.ECONNRESET, "timed out")
+    server: "NodeServer"
+
+    def __init__(self, sock: Any, address: Any, server: Any, rfile: Any = None):
+        """Bounds stalls of the caller; sends small events at once."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(server.stall_s)
+        super().__init__(sock, address, server, rfile)
+        self.counted = False
+
+    def read_request(self, raw_requestline: str) -> Any:
+        """Counts the request as running from its first line on."""
+        self.counted = True
+        self.server.running += 1
+        return super().read_request(raw_requestline)
+
+    def start_response(
+        self, status: str, headers: Any, exc_info: Any = None
+    ) -> Any:
+        """Asks callers of a leaving node to close their connections."""
+        if self.server.leaving and exc_info is None:
+            headers = [*headers, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
+    def handle_one_request(self) -> Any:
+        """Ends the count whatever happens."""
+        try:
+            return super().handle_one_request()
+        finally:
+            if self.counted:
+                self.counted = False
+                self.server.running -= 1
+                self.server.last_end = time.monotonic()
+
+
+class NodeServer(pywsgi.WSGIServer):
+    """Serves an app; `drain` stops when all requests have finished."""
+
+    def __init__(self, address: str, app: Any, stall_s: float = STALL_S):
+        """Creates a server of `host:port`; port 0 takes a free one."""
+        host, _, port = address.rpartition(":")
+        super().__init__(
+            (host, int(port)),
+            app,
+            backlog=BACKLOG,
+            log=None,
+            error_log=log,
+            handler_class=NodeHandler,
+            # The library asks a name server for the host name otherwise.
+            environ={"SERVER_NAME": host},
+        )
+        self.stall_s = stall_s
+        self.running = 0
+        self.leaving = False
+        self.last_end = time.monotonic()
+
+    def drain(self) -> None:
+        """Stops accepting after all requests have finished.
+
+        Call it when callers have stopped to send new requests; one that still
+        arrives is answered.
+        """
+        self.leaving = True
+        self.last_end = time.monotonic()
+        while self.running or time.monotonic() - self.last_end < QUIET_S:
+            gevent.sleep(IDLE_CHECK_S)
+        # Connections accepted by the kernel but not yet by this process
+        # would be reset by closing the listener.
+        self.stop_accepting()
+        while self.running:
+            gevent.sleep(IDLE_CHECK_S)
+        self.stop()
