Add evidence counters, their exchange and the rating pump

Cause: choice of versions and withdrawal need one pooled view of what versions did, which survives repeated, late and lost messages. Conclusion: the choice of versions can build on the pooled view. A section does not learn which peer a message goes to, so rows are disseminated epidemically instead of by a difference per peer.

--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/coordination/rating_pump.py
@@ -0,0 +1,184 @@
+"""Submits answers to the rating service and counts their ratings."""
+
+import dataclasses
+import logging
+from collections import OrderedDict, deque
+from collections.abc import Callable
+
+from result import Err
+
+from amaranthlug.coordination.evidence_pool import EvidencePool
+from amaranthlug.coordination.platform import (
+    AnswerSample,
+    Metrics,
+    Rating,
+    RatingService,
+)
+from amaranthlug.coordination.timers import TimerService
+from amaranthlug.state.evidence import Cell
+
+MAX_UNRATED = 5_000
+"""Answers whose rating is awaited; the oldest are given up beyond it."""
+
+MAX_BUFFERED = 500
+"""Samples that wait for submission; the oldest are dropped beyond it."""
+
+BATCH = 100
+"""Samples in one submission."""
+
+SAMPLES_PER_S = 10.0
+"""Samples of proven versions a node submits; unproven ones all go."""
+
+PERIOD_S = 0.5
+"""Period of submission and of fetching, in seconds."""
+
+OUT_AFTER_S = 10.0
+"""Without a successful fetch for so long the service counts as out."""
+
+LATE_AFTER_S = 60.0
+"""With answers waiting for so long and no rating it counts as late."""
+
+UNRATED_EXPIRY_S = 600.0
+"""An answer without a rating for so long was not in the service's sample."""
+
+TRUST_HALF_S = 1_800.0
+"""Time without ratings after which evidence counts half, in seconds."""
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class Unrated:
+    """A submitted answer whose rating is awaited."""
+
+    cell: Cell
+    server: str
+    passed: bool
+    at: float
+
+
+class RatingPump:
+    """Samples of this node's answers on their way through the service."""
+
+    def __init__(
+        self,
+        service: RatingService,
+        pool: EvidencePool,
+        metrics: Metrics,
+        now: Callable[[], float],
+    ):
+        """Creates a pump; `start` subscribes it to the timers."""
+        self.service = service
+        self.pool = pool
+        self.metrics = metrics
+        self.now = now
+        self.buffer: deque[AnswerSample] = deque(maxlen=MAX_BUFFERED)
+        self.unrated: OrderedDict[str, Unrated] = OrderedDict()
+        self.position = 0
+        self.fetched_at = now()
+        self.rated_at = now()
+        self.allowance = SAMPLES_PER_S
+        self.allowance_at = now()
+
+    def start(self, timers: TimerService) -> None:
+        """Submits and fetches periodically, each in its own greenlet."""
+        timers.every("rating-submit", PERIOD_S, self.submit)
+        timers.every("rating-fetch", PERIOD_S, self.fetch)
+
+    def offer(
+        self,
+        sample: AnswerSample,
+        cell: Cell,
+        server: str,
+        passed: bool,
+        unproven: bool,
+    ) -> bool:
+        """Takes an answer for rating; False when the sample is full."""
+        now = self.now()
+        grown = (now - self.allowance_at) * SAMPLES_PER_S
+        self.allowance = min(2 * SAMPLES_PER_S, self.allowance + grown)
+        self.allowance_at = now
+        if not unproven:
+            if self.allowance < 1:
+                return False
+            self.allowance -= 1
+        if not self.unrated:
+            self.rated_at = now
+        self.unrated[sample.request_id] = Unrated(cell, server, passed, now)
+        if len(self.unrated) > MAX_UNRATED:
+            self.unrated.popitem(last=False)
+            self.metrics.incr("evidence.unrated_dropped")
+        self.buffer.append(sample)
+        return True
+
+    def submit(self) -> None:
+        """Sends one batch; a failed one is sent again next time.
+
+        A batch submitted twice is harmless: the second rating of an answer
+        finds no waiting entry and is ignored.
+        """
+        size = min(BATCH, len(self.buffer))
+        batch = [self.buffer.popleft() for _ in range(size)]
+        if not batch:
+            return
+        answer = self.service.submit(batch)
+        if isinstance(answer, Err):
+            self.metrics.incr("evidence.submit_failed")
+            self.buffer.extendleft(reversed(batch))
+
+    def fetch(self) -> None:
+        """Counts new ratings of answers that this node submitted."""
+        answer = self.service.fetch(self.position)
+        now = self.now()
+        if isinstance(answer, Err):
+            self.metrics.incr("evidence.fetch_failed")
+        else:
+            self.fetched_at = now
+            for rating in answer.unwrap():
+                self.position = max(self.position, rating.seq)
+                self._count(rating)
+        self._expire(now)
+        silent_s = self.silent_s()
+        self.pool.evidence.trust = 0.5 ** (silent_s / TRUST_HALF_S)
+        self.metrics.gauge("evidence.rating_silent_s", silent_s)
+
+    def _count(self, rating: Rating) -> None:
+        waiting = self.unrated.pop(rating.request_id, None)
+        if waiting is None:
+            return
+        self.rated_at = self.now()
+        word = "good" if rating.good else "bad"
+        amounts = {word: 1}
+        if waiting.passed:
+            amounts[f"pass_{word}"] = 1
+        server = Cell(waiting.cell.version, server=waiting.server)
+        for cell in (waiting.cell, server):
+            self.pool.evidence.count(cell, **amounts)
+            self.pool.changed(cell, urgent=not rating.good)
+        self.metrics.incr(f"evidence.rated_{word}")
+
+    def _expire(self, now: float) -> None:
+        while self.unrated:
+            oldest = next(iter(self.unrated))
+            if now - self.unrated[oldest].at < UNRATED_EXPIRY_S:
+                return
+            del self.unrated[oldest]
+
+    def silent_s(self) -> float:
+        """Returns seconds of outage or lateness, 0 while ratings come."""
+        now = self.now()
+        unreachable = now - self.fetched_at
+        if unreachable > OUT_AFTER_S:
+            return unreachable
+        late = now - self.rated_at
+        return late if self.unrated and late > LATE_AFTER_S else 0.0
+
+    def out(self) -> bool:
+        """Tells whether ratings no longer come."""
+        return self.silent_s() > 0
+
+    def unrated_of(self, version: str) -> int:
+        """Returns how many answers of a version await their rating."""
+        return sum(
+            waiting.cell.version == version for waiting in self.unrated.values()
+        )
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/state/evidence.py
@@ -0,0 +1,282 @@
+"""Counters of what versions did, and confidence bounds of their quality."""
+
+import dataclasses
+import math
+from collections import OrderedDict
+from collections.abc import Iterable
+
+MAX_INCARNATIONS = 64
+"""Least number of node incarnations kept apart; older ones are folded."""
+
+MAX_FOLDED_IDS = 4_096
+"""Folded incarnations remembered, so that a late row is not counted twice."""
+
+MAX_CELLS = 20_000
+"""Bound of rows of one incarnation; new cells beyond it are not counted."""
+
+ESTIMATE_CAP = 1_500.0
+"""Ratings that an estimate remembers; older ones fade, so that a version that
+changes shows after some hundred ratings."""
+
+PRIOR_WEIGHT = 4.0
+"""Ratings that the prior of the catalogue is worth."""
+
+Z_LOWER = 1.64
+"""One-sided 95% quantile of the normal distribution."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cell:
+    """What a row of counters is about.
+
+    Attributes:
+        version: `model@version`.
+        kind: Request kind; empty in rows by server.
+        hard: The request looked hard.
+        server: Address of the server; empty in rows by kind.
+    """
+
+    version: str
+    kind: str = ""
+    hard: bool = False
+    server: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """Counters that only grow.
+
+    Attributes:
+        started: Requests sent to the version.
+        complete: Requests with a whole answer.
+        passed: Whole answers that passed the check of a cascade.
+        good: Answers rated good.
+        bad: Answers rated bad.
+        pass_good: Answers rated good that had passed the check.
+        pass_bad: Answers rated bad that had passed the check.
+        errors: Requests that ended with an error.
+        cut: Streams that were cut by the upstream.
+        empty: Answers without content.
+        latency_ms: Total time of whole answers in milliseconds.
+    """
+
+    started: int = 0
+    complete: int = 0
+    passed: int = 0
+    good: int = 0
+    bad: int = 0
+    pass_good: int = 0
+    pass_bad: int = 0
+    errors: int = 0
+    cut: int = 0
+    empty: int = 0
+    latency_ms: int = 0
+
+    def values(self) -> list[int]:
+        """Returns the counters in the order of `COUNTERS`."""
+        return [getattr(self, name) for name in COUNTERS]
+
+    @property
+    def rated(self) -> int:
+        """Returns the number of rated answers."""
+        return self.good + self.bad
+
+    @property
+    def failed(self) -> int:
+        """Returns the number of errors, cut streams and empty answers."""
+        return self.errors + self.cut + self.empty
+
+
+COUNTERS = tuple(field.name for field in dataclasses.fields(Tally))
+
+
+@dataclasses.dataclass(slots=True)
+class Estimate:
+    """Recent ratings of a cell; old ones fade at the cap."""
+
+    good: float = 0.0
+    bad: float = 0.0
+    pass_good: float = 0.0
+    pass_bad: float = 0.0
+
+    def add(self, grown: Tally) -> None:
+        """Adds new ratings and fades old ones beyond the cap."""
+        self.good += grown.good
+        self.bad += grown.bad
+        self.pass_good += grown.pass_good
+        self.pass_bad += grown.pass_bad
+        total = self.good + self.bad
+        if total > ESTIMATE_CAP:
+            keep = ESTIMATE_CAP / total
+            self.good *= keep
+            self.bad *= keep
+            self.pass_good *= keep
+            self.pass_bad *= keep
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Share of good answers: lower bound, mean, upper bound, ratings used."""
+
+    lower: float
+    mean: float
+    upper: float
+    ratings: float
+
+
+def beta_bounds(
+    good: float, bad: float, prior: float, prior_weight: float = PRIOR_WEIGHT
+) -> Bounds:
+    """Returns one-sided 95% bounds of a Beta posterior.
+
+    The Wilson interval on the counts with the prior's pseudo-counts stays
+    within 0 and 1 for few ratings, where a plain normal interval does not.
+    """
+    ratings = good + bad
+    total = ratings + prior_weight
+    mean = (good + prior * prior_weight) / total
+    z2 = Z_LOWER * Z_LOWER
+    centre = (mean + z2 / (2 * total)) / (1 + z2 / total)
+    spread = mean * (1 - mean) / total + z2 / (4 * total * total)
+    half = Z_LOWER * math.sqrt(spread) / (1 + z2 / total)
+    return Bounds(
+        max(0.0, centre - half), mean, min(1.0, centre + half), ratings
+    )
+
+
+class Evidence:
+    """Counters by cell and node incarnation, merged by maximum.
+
+    Each incarnation alone raises its own counters, so a repeated, late or
+    reordered row changes nothing that a newer one has already said.
+    """
+
+    def __init__(
+        self, incarnation: str, max_incarnations: int = MAX_INCARNATIONS
+    ):
+        """Creates empty counters of the node process `incarnation`."""
+        self.incarnation = incarnation
+        self.max_incarnations = max_incarnations
+        self.rows: OrderedDict[str, dict[Cell, Tally]] = OrderedDict()
+        self.rows[incarnation] = {}
+        self.folded: OrderedDict[str, None] = OrderedDict()
+        self.pool: dict[Cell, Tally] = {}
+        self.estimates: dict[Cell, Estimate] = {}
+        self.generation = 0
+        self.trust = 1.0
+        self.dropped = 0
+        self._bounds: dict[
+            tuple[Cell, bool, float], tuple[float, float, float, Bounds]
+        ] = {}
+
+    def count(self, cell: Cell, **amounts: int) -> None:
+        """Raises counters of this node."""
+        tally = self._row(self.incarnation, cell)
+        if tally is None:
+            return
+        grown = Tally(**amounts)
+        for name, amount in amounts.items():
+            setattr(tally, name, getattr(tally, name) + amount)
+        self._add_to_pool(cell, grown)
+
+    def merge(self, incarnation: str, cell: Cell, values: list[int]) -> bool:
+        """Merges a row by maximum; True when it told something new.
+
+        A row of this process itself is ignored: nobody knows it better.
+        """
+        if incarnation == self.incarnation or incarnation in self.folded:
+            return False
+        if len(values) != len(COUNTERS):
+            return False
+        tally = self._row(incarnation, cell)
+        if tally is None:
+            return False
+        grown = Tally()
+        changed = False
+        for name, value in zip(COUNTERS, values, strict=True):
+            known = getattr(tally, name)
+            if value > known:
+                setattr(tally, name, value)
+                setattr(grown, name, value - known)
+                changed = True
+        if changed:
+            self._add_to_pool(cell, grown)
+        return changed
+
+    def _row(self, incarnation: str, cell: Cell) -> Tally | None:
+        cells = self.rows.setdefault(incarnation, {})
+        tally = cells.get(cell)
+        if tally is None:
+            if len(cells) >= MAX_CELLS:
+                self.dropped += 1
+                return None
+            tally = cells[cell] = Tally()
+        return tally
+
+    def _add_to_pool(self, cell: Cell, grown: Tally) -> None:
+        pooled = self.pool.setdefault(cell, Tally())
+        for name in COUNTERS:
+            amount = getattr(grown, name)
+            if amount:
+                setattr(pooled, name, getattr(pooled, name) + amount)
+        if grown.good or grown.bad:
+            self.estimates.setdefault(cell, Estimate()).add(grown)
+            self.generation += 1
+
+    def pooled(self, cell: Cell) -> Tally:
+        """Returns the sum over all nodes."""
+        return self.pool.get(cell) or Tally()
+
+    def bounds(
+        self, cell: Cell, prior: float, passed_only: bool = False
+    ) -> Bounds:
+        """Returns cached bounds of the share of good answers.
+
+        Args:
+            cell: Version, kind and difficulty.
+            prior: Assumed share before any rating.
+            passed_only: Only answers that passed the check of a cascade.
+        """
+        estimate = self.estimates.get(cell)
+        if estimate is None:
+            good = bad = 0.0
+        elif passed_only:
+            good, bad = estimate.pass_good, estimate.pass_bad
+        else:
+            good, bad = estimate.good, estimate.bad
+        key = (cell, passed_only, prior)
+        cached = self._bounds.get(key)
+        if cached and cached[:3] == (good, bad, self.trust):
+            return cached[3]
+        bounds = beta_bounds(good * self.trust, bad * self.trust, prior)
+        if len(self._bounds) > MAX_CELLS:
+            self._bounds.clear()
+        self._bounds[key] = (good, bad, self.trust, bounds)
+        return bounds
+
+    def by_version(self, version: str) -> Tally:
+        """Returns the sum of a version over kinds and difficulties."""
+        total = Tally()
+        for cell, tally in self.pool.items():
+            if cell.version == version and not cell.server:
+                for name in COUNTERS:
+                    grown = getattr(total, name) + getattr(tally, name)
+                    setattr(total, name, grown)
+        return total
+
+    def fold(self, live: Iterable[str]) -> None:
+        """Folds incarnations beyond the bound, departed and oldest first.
+
+        The pooled sums keep what folded incarnations counted. Live ones are
+        never folded, because their later rows would be lost.
+        """
+        keep = set(live) | {self.incarnation}
+        surplus = len(self.rows) - max(self.max_incarnations, len(keep))
+        for incarnation in [i for i in self.rows if i not in keep]:
+            if surplus <= 0:
+                break
+            del self.rows[incarnation]
+            self.folded[incarnation] = None
+            surplus -= 1
+        while len(self.folded) > MAX_FOLDED_IDS:
+            self.folded.popitem(last=False)
--- /dev/null
+++ b/test/test_evidence.py
@@ -0,0 +1,165 @@
+"""Guards the evidence: double counts, lost rows, unbounded messages."""
+
+import json
+
+from _policy import Clock, FakeMembers, FakeMetrics, FakeRatings
+
+from amaranthlug.coordination import evidence_pool, rating_pump
+from amaranthlug.coordination.evidence_pool import EvidencePool
+from amaranthlug.coordination.platform import AnswerSample, Rating
+from amaranthlug.coordination.rating_pump import RatingPump
+from amaranthlug.state.evidence import Cell, Evidence, Tally, beta_bounds
+
+CELL = Cell("m@1", "log", False)
+
+
+def test_repeated_and_reordered_rows_count_once():
+    """A message that arrives twice or late must not add evidence."""
+    evidence = Evidence("a")
+    new = Tally(started=5, good=3, bad=1).values()
+    old = Tally(started=4, good=2).values()
+    assert evidence.merge("b", CELL, new)
+    assert not evidence.merge("b", CELL, old)
+    assert not evidence.merge("b", CELL, new)
+    assert evidence.pooled(CELL) == Tally(started=5, good=3, bad=1)
+
+
+def test_folded_incarnation_is_not_counted_again():
+    """A late row of a folded incarnation would double its counters."""
+    evidence = Evidence("a", max_incarnations=2)
+    for name in ("b", "c", "d"):
+        evidence.merge(name, CELL, Tally(good=1).values())
+    evidence.fold(live=["d"])
+    assert set(evidence.rows) == {"a", "d"}
+    assert not evidence.merge("b", CELL, Tally(good=1).values())
+    assert evidence.pooled(CELL).good == 3
+
+
+def test_live_incarnations_are_never_folded():
+    """Folding a live node would lose all that it learns afterwards."""
+    evidence = Evidence("a", max_incarnations=2)
+    for number in range(10):
+        evidence.merge(f"n{number}", CELL, Tally(good=1).values())
+    evidence.fold(live=[f"n{number}" for number in range(10)])
+    assert len(evidence.rows) == 11
+
+
+def test_bounds_narrow_with_ratings_and_widen_in_an_outage():
+    """Bounds that ignore an outage would keep trusting old evidence."""
+    evidence = Evidence("a")
+    evidence.count(CELL, good=180, bad=20)
+    first = evidence.bounds(CELL, 0.5)
+    assert 0.84 < first.lower < 0.9 < first.upper < 0.95
+    evidence.trust = 0.25
+    wider = evidence.bounds(CELL, 0.5)
+    assert wider.lower < first.lower and wider.upper > first.upper
+    none = beta_bounds(0, 0, 0.9)
+    assert none.lower < 0.7
+
+
+def test_estimate_follows_a_version_that_turns_bad():
+    """An estimate over all time would hide a change for days."""
+    evidence = Evidence("a")
+    evidence.count(CELL, good=100_000)
+    for _ in range(800):
+        evidence.count(CELL, bad=1)
+    assert evidence.bounds(CELL, 0.5).mean < 0.7
+
+
+def exchange(pools, rounds, fanout=2):
+    """Runs rounds in which each node sends to its next neighbours."""
+    for number in range(rounds):
+        for index, pool in enumerate(pools):
+            message = json.loads(json.dumps(pool.outgoing()))
+            for step in range(fanout):
+                other = (index + 1 + number * fanout + step) % len(pools)
+                if other != index:
+                    pools[other].incoming("x", message)
+
+
+def test_all_nodes_reach_the_same_pooled_counters():
+    """A node that misses a row would choose by other evidence for good."""
+    pools = []
+    for number in range(8):
+        members = FakeMembers(8, number)
+        pool = EvidencePool(Evidence(f"inc-{number}"), members)
+        pool.evidence.count(CELL, good=1 + number)
+        pool.changed(CELL)
+        pools.append(pool)
+    exchange(pools, 6)
+    assert {pool.evidence.pooled(CELL).good for pool in pools} == {36}
+
+
+def test_message_is_bounded_and_urgent_rows_go_first():
+    """Too many rows would exceed the node's control traffic."""
+    pool = EvidencePool(Evidence("a"), FakeMembers())
+    for number in range(500):
+        cell = Cell("m@1", f"kind-{number}", False)
+        pool.evidence.count(cell, good=1)
+        pool.changed(cell)
+    pool.evidence.count(CELL, bad=1)
+    pool.changed(CELL, urgent=True)
+    rows = pool.outgoing()["rows"]
+    assert len(rows) <= evidence_pool.MAX_ROWS
+    assert rows[0][2] == "log"
+    assert len(json.dumps(rows)) < 4_000
+
+
+def pump_parts():
+    """Returns a pump with its fakes."""
+    clock, service, metrics = Clock(), FakeRatings(), FakeMetrics()
+    pool = EvidencePool(Evidence("a"), FakeMembers())
+    return RatingPump(service, pool, metrics, clock), clock, service, metrics
+
+
+def sample(name):
+    """Returns an answer sample."""
+    return AnswerSample(name, "log", "m@1", "p", "a")
+
+
+def test_rating_counts_once_and_only_for_own_answers():
+    """A rating counted by each node that reads it would count eight times."""
+    pump, _, service, _ = pump_parts()
+    pump.offer(sample("r1"), CELL, "s1", True, True)
+    pump.submit()
+    service.ratings = [
+        Rating(1, "r1", "log", "m@1", False),
+        Rating(2, "r1", "log", "m@1", False),
+        Rating(3, "foreign", "log", "m@1", False),
+    ]
+    pump.fetch()
+    pump.fetch()
+    assert pump.pool.evidence.pooled(CELL) == Tally(bad=1, pass_bad=1)
+    server = Cell("m@1", server="s1")
+    assert pump.pool.evidence.pooled(server).bad == 1
+
+
+def test_outage_keeps_samples_and_widens():
+    """Samples lost in an outage would leave canaries unrated for good."""
+    pump, clock, service, _ = pump_parts()
+    service.out = True
+    pump.offer(sample("r1"), CELL, "s1", True, True)
+    pump.submit()
+    clock.time += 1_800
+    pump.fetch()
+    assert pump.out() and 0.4 < pump.pool.evidence.trust < 0.6
+    service.out = False
+    pump.submit()
+    assert [s.request_id for s in service.samples] == ["r1"]
+
+
+def test_late_ratings_count_as_out_and_tables_are_bounded():
+    """A service that accepts all and rates nothing must be noticed."""
+    pump, clock, _, metrics = pump_parts()
+    for number in range(rating_pump.MAX_UNRATED + 5):
+        pump.offer(sample(f"r{number}"), CELL, "s1", True, True)
+    assert len(pump.unrated) == rating_pump.MAX_UNRATED
+    assert metrics.counters["evidence.unrated_dropped"] == 5
+    pump.fetch()
+    assert not pump.out()
+    clock.time += rating_pump.LATE_AFTER_S + 1
+    pump.fetch()
+    assert pump.out()
+    clock.time += rating_pump.UNRATED_EXPIRY_S
+    pump.fetch()
+    assert not pump.unrated and not pump.out()
