Choose versions by cost, quality and roll-out

Cause: each request needs the cheapest allowed version that meets its kind's target, while unproven versions reach few callers. Conclusion: the policy part is ready for the request path.

--- a/packages/amaranthlug/src/amaranthlug/coordination/rating_pump.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/rating_pump.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import logging
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 
 from result import Err
@@ -41,20 +41,30 @@
 UNRATED_EXPIRY_S = 600.0
 """An answer without a rating for so long was not in the service's sample."""
 
+SKIP_MARGIN_S = 10.0
+"""An answer older by this than another that is already rated was probably
+not sampled and no longer counts against the quota of its version."""
+
 TRUST_HALF_S = 1_800.0
 """Time without ratings after which evidence counts half, in seconds."""
 
 log = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass
 class Unrated:
-    """A submitted answer whose rating is awaited."""
+    """A submitted answer whose rating is awaited.
+
+    Attributes:
+        waived: It no longer counts against the quota of its version.
+    """
 
     cell: Cell
     server: str
     passed: bool
+    delivered: bool
     at: float
+    waived: bool = False
 
 
 class RatingPump:
@@ -74,6 +84,9 @@
         self.now = now
         self.buffer: deque[AnswerSample] = deque(maxlen=MAX_BUFFERED)
         self.unrated: OrderedDict[str, Unrated] = OrderedDict()
+        self.holding: deque[str] = deque()
+        self.held: Counter[str] = Counter()
+        self.rated_to = 0.0
         self.position = 0
         self.fetched_at = now()
         self.rated_at = now()
@@ -92,8 +105,18 @@
         server: str,
         passed: bool,
         unproven: bool,
+        delivered: bool = True,
     ) -> bool:
-        """Takes an answer for rating; False when the sample is full."""
+        """Takes an answer for rating; False when the sample is full.
+
+        Args:
+            sample: The answer.
+            cell: Row that its rating counts for.
+            server: Server that gave it.
+            passed: It passed the check of a cascade.
+            unproven: Its rating is needed, so it is always submitted.
+            delivered: The caller got it; False for a step that was escalated.
+        """
         now = self.now()
         grown = (now - self.allowance_at) * SAMPLES_PER_S
         self.allowance = min(2 * SAMPLES_PER_S, self.allowance + grown)
@@ -104,13 +127,34 @@
             self.allowance -= 1
         if not self.unrated:
             self.rated_at = now
-        self.unrated[sample.request_id] = Unrated(cell, server, passed, now)
-        if len(self.unrated) > MAX_UNRATED:
-            self.unrated.popitem(last=False)
-            self.metrics.incr("evidence.unrated_dropped")
+        self._wait(sample.request_id, cell, server, passed, delivered)
         self.buffer.append(sample)
         return True
 
+    def _wait(
+        self,
+        request_id: str,
+        cell: Cell,
+        server: str,
+        passed: bool,
+        delivered: bool,
+    ) -> None:
+        self._forget(request_id)
+        self.unrated[request_id] = Unrated(
+            cell, server, passed, delivered, self.now()
+        )
+        self.holding.append(request_id)
+        self.held[cell.version] += 1
+        if len(self.unrated) > MAX_UNRATED:
+            self._forget(next(iter(self.unrated)))
+            self.metrics.incr("evidence.unrated_dropped")
+
+    def _forget(self, request_id: str) -> Unrated | None:
+        waiting = self.unrated.pop(request_id, None)
+        if waiting is not None and not waiting.waived:
+            self.held[waiting.cell.version] -= 1
+        return waiting
+
     def submit(self) -> None:
         """Sends one batch; a failed one is sent again next time.
 
@@ -143,9 +187,10 @@
         self.metrics.gauge("evidence.rating_silent_s", silent_s)
 
     def _count(self, rating: Rating) -> None:
-        waiting = self.unrated.pop(rating.request_id, None)
+        waiting = self._forget(rating.request_id)
         if waiting is None:
             return
+        self.rated_to = max(self.rated_to, waiting.at)
         self.rated_at = self.now()
         word = "good" if rating.good else "bad"
         amounts = {word: 1}
@@ -155,14 +200,26 @@
         for cell in (waiting.cell, server):
             self.pool.evidence.count(cell, **amounts)
             self.pool.changed(cell, urgent=not rating.good)
+        if waiting.delivered:
+            kind = Cell("", waiting.cell.kind)
+            self.pool.evidence.count(kind, **{word: 1})
+            self.pool.changed(kind)
         self.metrics.incr(f"evidence.rated_{word}")
 
     def _expire(self, now: float) -> None:
+        while self.holding:
+            waiting = self.unrated.get(self.holding[0])
+            if waiting is not None and not waiting.waived:
+                if waiting.at > self.rated_to - SKIP_MARGIN_S:
+                    break
+                waiting.waived = True
+                self.held[waiting.cell.version] -= 1
+            self.holding.popleft()
         while self.unrated:
             oldest = next(iter(self.unrated))
             if now - self.unrated[oldest].at < UNRATED_EXPIRY_S:
                 return
-            del self.unrated[oldest]
+            self._forget(oldest)
 
     def silent_s(self) -> float:
         """Returns seconds of outage or lateness, 0 while ratings come."""
@@ -178,7 +235,5 @@
         return self.silent_s() > 0
 
     def unrated_of(self, version: str) -> int:
-        """Returns how many answers of a version await their rating."""
-        return sum(
-            waiting.cell.version == version for waiting in self.unrated.values()
-        )
+        """Returns how many answers of a version hold its quota."""
+        return self.held[version]
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
@@ -0,0 +1,305 @@
+"""Finds versions and servers that turn out bad, by pooled evidence."""
+
+import dataclasses
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.coordination.timers import TimerService
+from amaranthlug.state.catalog import Catalog, Rollout, VersionId
+from amaranthlug.state.evidence import Cell, Evidence, Tally, version_label
+from amaranthlug.state.quality_test import (
+    LIMIT_PROVEN,
+    LIMIT_UNPROVEN,
+    RatioTest,
+    acceptable,
+    ratio,
+)
+from amaranthlug.state.rollouts import RolloutFold, new_version, old_version
+
+PERIOD_S = 0.5
+"""Period of the test, in seconds; well within the 3 s for a withdrawal."""
+
+LEAST_FAILED = 0.02
+"""Share of failed requests that is always acceptable."""
+
+REFERENCE_RATED = 50
+"""Ratings after which a version's own past serves as its reference."""
+
+RESTART_OUTCOMES = 20
+"""Outcomes after which a test that speaks for the version restarts."""
+
+REST_IS_BAD = 2.5
+"""Log ratio of all servers but the worst above which the fault lies with the
+version: two bad ratings, as a single one also happens to a good version."""
+
+REST_IS_GOOD = 0.0
+
+PROVEN_RATED = 30
+"""Ratings after which a version outside a roll-out counts as proven."""
+
+
+class CatalogReader(Protocol):
+    """The configuration in force."""
+
+    def catalog(self) -> Catalog:
+        """Returns the newest accepted configuration."""
+        ...
+
+    def is_withdrawn(self, version: VersionId) -> bool:
+        """Tells whether a version may receive no new work."""
+        ...
+
+
+@dataclasses.dataclass
+class Baseline:
+    """Counters when the test of a version last restarted."""
+
+    cells: dict[Cell, Tally] = dataclasses.field(default_factory=dict)
+    reference: dict[Cell, float] = dataclasses.field(default_factory=dict)
+    servers: dict[str, Tally] = dataclasses.field(default_factory=dict)
+    total: Tally = dataclasses.field(default_factory=Tally)
+
+
+@dataclasses.dataclass(frozen=True)
+class Finding:
+    """Result of one test.
+
+    Attributes:
+        value: Log ratio over all servers.
+        rest: Log ratio without the server that looks worst.
+        server: That server; empty when only one has run the version.
+        server_value: Its own log ratio.
+    """
+
+    value: float
+    rest: float
+    server: str
+    server_value: float
+
+
+def outcomes(tally: Tally, base: Tally, failures: bool) -> tuple[int, int]:
+    """Returns good and bad outcomes of ratings, or of whole requests."""
+    if failures:
+        return tally.complete - base.complete, tally.failed - base.failed
+    return tally.good - base.good, tally.bad - base.bad
+
+
+class WithdrawalWatch:
+    """Tests each version; every node reaches the same result by itself."""
+
+    def __init__(
+        self,
+        catalog: CatalogReader,
+        evidence: Evidence,
+        rollouts: RolloutFold,
+        withdraw: Callable[[VersionId, str], None],
+        eject: Callable[[str, VersionId, str], None],
+        metrics: Metrics,
+        epoch: Callable[[VersionId], int] = lambda version: 0,
+    ):
+        """Creates a watch.
+
+        Args:
+            catalog: Configuration in force.
+            evidence: Pooled counters.
+            rollouts: Stages of roll-outs.
+            withdraw: Takes a version out of service everywhere.
+            eject: Keeps a version off one server (address, version, reason);
+                called again each period while the evidence stands.
+            metrics: Counters.
+            epoch: Number of readmissions of a version.
+        """
+        self.view = catalog
+        self.evidence = evidence
+        self.rollouts = rollouts
+        self.withdraw = withdraw
+        self.eject = eject
+        self.metrics = metrics
+        self.epoch = epoch
+        self.baselines: dict[str, Baseline] = {}
+        self.suspicions: dict[str, float] = {}
+
+    def start(self, timers: TimerService) -> None:
+        """Tests all versions periodically."""
+        timers.every("withdrawal-watch", PERIOD_S, self.check)
+
+    def label(self, version: VersionId) -> str:
+        """Returns the version's name in rows of evidence."""
+        return version_label(version, self.epoch(version))
+
+    def introducing(self, version: VersionId) -> Rollout | None:
+        """Returns the unfinished roll-out that introduces a version."""
+        for rollout in self.view.catalog().rollouts.values():
+            if new_version(rollout) == version:
+                return None if self.rollouts.done(rollout) else rollout
+        return None
+
+    def proven(self, version: VersionId) -> bool:
+        """Tells whether a version has shown what it does."""
+        if self.introducing(version) is not None:
+            return False
+        return self.evidence.by_version(self.label(version)).rated >= (
+            PROVEN_RATED
+        )
+
+    def suspicion(self, version: VersionId) -> float:
+        """Returns the log ratio's part of its limit, 0 to 1."""
+        return self.suspicions.get(self.label(version), 0.0)
+
+    def check(self) -> None:
+        """Tests all versions once; withdraws and ejects."""
+        for version in list(self.view.catalog().versions):
+            if not self.view.is_withdrawn(version):
+                self._check_version(version)
+
+    def _check_version(self, version: VersionId) -> None:
+        label = self.label(version)
+        rollout = self.introducing(version)
+        limit = LIMIT_PROVEN if rollout is None else LIMIT_UNPROVEN
+        base = self.baselines.setdefault(label, Baseline())
+        highest = 0.0
+        for failures in (False, True):
+            found = self._find(label, rollout, base, failures)
+            highest = max(highest, found.value / limit)
+            if found.value > limit:
+                word = "failures" if failures else "ratings"
+                self._act(version, found, word)
+        self.suspicions[label] = min(1.0, max(0.0, highest))
+        if rollout is None and highest <= 0:
+            self._restart(label, base)
+
+    def _act(self, version: VersionId, found: Finding, word: str) -> None:
+        evidence = f"{word}: log ratio {found.value:.1f}"
+        if not found.server and self._server_fails_elsewhere(version):
+            return
+        if not found.server or found.rest > REST_IS_BAD:
+            self.metrics.incr("policy.withdrawn")
+            self.withdraw(version, f"bad {evidence}")
+            return
+        self.metrics.incr("policy.server_ejected")
+        self.eject(found.server, version, f"bad server by {evidence}")
+
+    def _server_fails_elsewhere(self, version: VersionId) -> bool:
+        """Ejects the only server that ran a version if others fail there."""
+        (address,) = self.evidence.by_server(self.label(version))
+        for other in self.view.catalog().versions:
+            tally = self.evidence.by_server(self.label(other)).get(address)
+            if other == version or tally is None:
+                continue
+            past = self._own_share(self.label(other), failures=True)
+            good, bad = outcomes(tally, Tally(), failures=True)
+            if ratio(good, bad, acceptable(past, LEAST_FAILED)) > REST_IS_BAD:
+                self.eject(address, version, f"{other} fails there too")
+                return True
+        return False
+
+    def _own_share(self, label: str, failures: bool) -> float:
+        good, bad = outcomes(self.evidence.by_version(label), Tally(), failures)
+        return bad / (good + bad) if good + bad >= REFERENCE_RATED else 0.0
+
+    def _find(
+        self,
+        label: str,
+        rollout: Rollout | None,
+        base: Baseline,
+        failures: bool,
+    ) -> Finding:
+        test = RatioTest()
+        if failures:
+            past = base.reference.get(Cell(label), 0.0)
+            limit = acceptable(past, LEAST_FAILED)
+            total = self.evidence.by_version(label)
+            good, bad = outcomes(total, base.total, True)
+            test.add(good, bad, limit)
+        else:
+            limit = self._add_ratings(test, label, rollout, base)
+        servers = self.evidence.by_server(label)
+        if len(servers) < 2:
+            value = test.value()
+            return Finding(value, value, "", value)
+        return self._leave_out(test, servers, base, limit, failures)
+
+    def _add_ratings(
+        self,
+        test: RatioTest,
+        label: str,
+        rollout: Rollout | None,
+        base: Baseline,
+    ) -> float:
+        """Adds ratings by cell; returns the average acceptable share."""
+        weight = limits = 0.0
+        for cell, tally in list(self.evidence.pool.items()):
+            if cell.version != label or cell.server:
+                continue
+            known = base.cells.get(cell, Tally())
+            good, bad = outcomes(tally, known, False)
+            past = self._reference(cell, rollout, base)
+            if past is None or good + bad <= 0:
+                continue
+            limit = acceptable(past)
+            test.add(good, bad, limit)
+            weight += good + bad
+            limits += limit * (good + bad)
+        return limits / weight if weight else acceptable(0.0)
+
+    def _reference(
+        self, cell: Cell, rollout: Rollout | None, base: Baseline
+    ) -> float | None:
+        """Returns the share of bad answers to compare with.
+
+        A version in a roll-out is compared with the one it replaces, any
+        other with its own past; without a past it is not tested, as a cheap
+        version that fails hard requests is unsuitable rather than bad.
+        """
+        if rollout is None:
+            return base.reference.get(cell)
+        catalog = self.view.catalog()
+        replaced = dataclasses.replace(
+            cell, version=self.label(old_version(rollout))
+        )
+        if self.evidence.pooled(replaced).rated >= REFERENCE_RATED:
+            return 1 - self.evidence.bounds(replaced, 0.5).lower
+        declared = catalog.versions.get(new_version(rollout))
+        return 1 - (declared.prior_quality if declared else 0.5)
+
+    def _leave_out(
+        self,
+        test: RatioTest,
+        servers: Mapping[str, Tally],
+        base: Baseline,
+        limit: float,
+        failures: bool,
+    ) -> Finding:
+        worst, worst_value, counts = "", float("-inf"), (0, 0)
+        for address, tally in servers.items():
+            known = base.servers.get(address, Tally())
+            good, bad = outcomes(tally, known, failures)
+            value = ratio(max(0, good), max(0, bad), limit)
+            if value > worst_value:
+                worst, worst_value, counts = address, value, (good, bad)
+        value = test.value()
+        rest = RatioTest(list(test.logs))
+        rest.add(max(0, counts[0]), max(0, counts[1]), limit, sign=-1)
+        return Finding(value, rest.value(), worst, worst_value)
+
+    def _restart(self, label: str, base: Baseline) -> None:
+        """Restarts the test of a proven version when it speaks for it."""
+        total = self.evidence.by_version(label)
+        grown = total.rated + total.complete + total.failed
+        known = base.total.rated + base.total.complete + base.total.failed
+        if grown - known < RESTART_OUTCOMES:
+            return
+        for cell, tally in self.evidence.pool.items():
+            if cell.version != label or cell.server:
+                continue
+            base.cells[cell] = dataclasses.replace(tally)
+            if tally.rated >= REFERENCE_RATED:
+                bounds = self.evidence.bounds(cell, 0.5)
+                base.reference[cell] = 1 - bounds.lower
+        base.reference[Cell(label)] = self._own_share(label, failures=True)
+        base.total = dataclasses.replace(total)
+        base.servers = {
+            address: dataclasses.replace(tally)
+            for address, tally in self.evidence.by_server(label).items()
+        }
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/unproven_quota.py
@@ -0,0 +1,59 @@
+"""Bounds requests to unproven versions that are in flight or not yet rated."""
+
+from collections import Counter
+
+import xxhash
+
+from amaranthlug.coordination.peers import MemberView
+from amaranthlug.coordination.rating_pump import RatingPump
+from amaranthlug.coordination.withdrawal_watch import WithdrawalWatch
+from amaranthlug.state.catalog import VersionId
+
+DEFAULT_MAX_UNRATED = 8
+"""Bound over all nodes for a version that is not in a roll-out."""
+
+SUSPICIOUS = 0.3
+"""Part of the limit of the withdrawal test from which on only one request at
+a time goes to the version, over all nodes."""
+
+
+def rendezvous(name: str, incarnation: str) -> int:
+    """Returns the rank of a node for a name; the highest comes first."""
+    return xxhash.xxh3_64_intdigest(f"{name}|{incarnation}".encode())
+
+
+class UnprovenQuota:
+    """This node's part of the bound that holds over all nodes."""
+
+    def __init__(
+        self,
+        members: MemberView,
+        ratings: RatingPump,
+        watch: WithdrawalWatch,
+    ):
+        """Creates a quota without requests in flight."""
+        self.members = members
+        self.ratings = ratings
+        self.watch = watch
+        self.in_flight: Counter[str] = Counter()
+
+    def quota(self, version: VersionId, name: str, max_unrated: int) -> int:
+        """Returns this node's quota, by rendezvous order of `name`."""
+        if self.watch.suspicion(version) > SUSPICIOUS:
+            max_unrated = min(1, max_unrated)
+        live = [member.incarnation for member in self.members.live()]
+        each, extra = divmod(max_unrated, max(1, len(live)))
+        mine = self.members.me.incarnation
+        if not extra or mine not in live:
+            return each if mine in live else 0
+        score = rendezvous(name, mine)
+        before = sum(rendezvous(name, other) > score for other in live)
+        return each + (before < extra)
+
+    def may_start(
+        self, version: VersionId, name: str, max_unrated: int
+    ) -> bool:
+        """Tells whether one more request may go to an unproven version."""
+        label = self.watch.label(version)
+        waiting = self.in_flight[label] + self.ratings.unrated_of(label)
+        return waiting < self.quota(version, name, max_unrated)
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
@@ -0,0 +1,359 @@
+"""Chooses the cheapest plan that meets a kind's quality target."""
+
+import dataclasses
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Protocol
+
+import xxhash
+from result import Err, Ok, Result
+
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.coordination.rating_pump import RatingPump
+from amaranthlug.coordination.withdrawal_watch import WithdrawalWatch
+from amaranthlug.protocol.cascade import (
+    AnswerCheck,
+    in_time,
+    structural_check,
+)
+from amaranthlug.protocol.choice_refusals import (
+    no_version,
+    not_allowed,
+    pools_exhausted,
+)
+from amaranthlug.protocol.difficulty import looks_hard
+from amaranthlug.protocol.kind_window import KindWindows
+from amaranthlug.protocol.outcome_count import OutcomeCounter
+from amaranthlug.protocol.plan_ranking import Option, Question, Ranking, rank
+from amaranthlug.protocol.services import (
+    CatalogView,
+    Plan,
+    PlanStep,
+    RoutedRequest,
+)
+from amaranthlug.protocol.unproven_quota import (
+    DEFAULT_MAX_UNRATED,
+    UnprovenQuota,
+)
+from amaranthlug.state.catalog import Catalog, Rollout, Version, VersionId
+from amaranthlug.state.evidence import Cell, Evidence
+from amaranthlug.state.refusal import Refusal
+from amaranthlug.state.rollouts import RolloutFold, new_version, old_version
+
+EXPLORE_SHARE = 0.05
+"""Exploration budget: share of a kind's requests that may go to a cheaper
+version whose quality is not known well enough."""
+
+EXPLORE_BURST = 5.0
+"""Explorations that a kind can save up."""
+
+RANKING_S = 0.25
+"""Age at which a ranking is computed anew, in seconds."""
+
+MAX_RANKINGS = 2_000
+"""Rankings kept; all are dropped beyond it."""
+
+AUTO = "auto"
+
+
+def share_of(text: str) -> float:
+    """Returns a number from 0 to 1 that is the same on every node."""
+    return xxhash.xxh3_64_intdigest(text.encode()) / 2**64
+
+
+class PoolView(Protocol):
+    """Free capacity of pools as this node knows it."""
+
+    def exhausted(self, version: VersionId) -> bool:
+        """Tells whether no server of the version's pool can take work."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """One request with what the configuration says about it."""
+
+    request: RoutedRequest
+    catalog: Catalog
+    allowed: frozenset[VersionId]
+    hard: bool
+
+
+class CostQualityChooser:
+    """The `VersionChooser` that weighs cost, quality and roll-outs."""
+
+    def __init__(
+        self,
+        view: CatalogView,
+        evidence: Evidence,
+        ratings: RatingPump,
+        rollouts: RolloutFold,
+        watch: WithdrawalWatch,
+        quota: UnprovenQuota,
+        pools: PoolView,
+        metrics: Metrics,
+        now: Callable[[], float],
+        seed: int | None = None,
+        check: AnswerCheck = structural_check,
+        hard: Callable[[RoutedRequest], bool] = looks_hard,
+    ):
+        """Creates a chooser.
+
+        Args:
+            view: Configuration in force.
+            evidence: Pooled counters.
+            ratings: Where answers go to be rated.
+            rollouts: Stages of roll-outs.
+            watch: Tests of versions.
+            quota: Bound of requests to unproven versions.
+            pools: Free capacity.
+            metrics: Counters.
+            now: Monotonic clock.
+            seed: Makes exploration repeatable.
+            check: Check of a cascade's first answer.
+            hard: Splits easy from hard requests.
+        """
+        self.view = view
+        self.evidence = evidence
+        self.ratings = ratings
+        self.rollouts = rollouts
+        self.watch = watch
+        self.quota = quota
+        self.pools = pools
+        self.metrics = metrics
+        self.now = now
+        self.random = random.Random(seed)
+        self.check = check
+        self.hard = hard
+        self.windows = KindWindows(evidence, now)
+        self.outcomes = OutcomeCounter(
+            evidence, ratings, watch, quota, now, check
+        )
+        self.budgets: dict[str, float] = {}
+        self.rankings: OrderedDict[
+            tuple[object, ...], tuple[float, Ranking]
+        ] = OrderedDict()
+        self.ranked_for: Catalog | None = None
+
+    def choose(
+        self, request: RoutedRequest, pinned: VersionId | None
+    ) -> Result[Plan, Refusal]:
+        """Returns the plan of a request; a pinned version is kept."""
+        catalog = self.view.catalog()
+        organisation = catalog.organisations.get(request.organisation.name)
+        allowed = organisation.allowed if organisation else frozenset()
+        case = Case(request, catalog, allowed, self.hard(request))
+        if pinned is not None and self._usable(case, pinned):
+            return Ok(self._plan(case, (PlanStep(pinned),), "pinned"))
+        if "@" in request.model:
+            return self._exact(case)
+        candidates = self._candidates(case)
+        if isinstance(candidates, Err):
+            return candidates
+        option = self._select(case, candidates.unwrap())
+        if isinstance(option, Err):
+            return option
+        return Ok(self._vary(case, option.unwrap(), candidates.unwrap()))
+
+    def _plan(
+        self, case: Case, steps: tuple[PlanStep, ...], reason: str
+    ) -> Plan:
+        self.metrics.incr(f"choice.{reason}")
+        explored = reason == "explored"
+        self.outcomes.planned(case.request, steps, case.hard, explored)
+        return Plan(steps, reason)
+
+    def _usable(self, case: Case, version: VersionId) -> bool:
+        known = version in case.allowed and version in case.catalog.versions
+        return known and not self.view.is_withdrawn(version)
+
+    def _exact(self, case: Case) -> Result[Plan, Refusal]:
+        try:
+            version = VersionId.parse(case.request.model)
+        except ValueError:
+            return Err(not_allowed(case.request.model))
+        if version not in case.allowed:
+            return Err(not_allowed(case.request.model))
+        if not self._usable(case, version):
+            return Err(no_version(case.request.model))
+        return Ok(self._plan(case, (PlanStep(version),), "explicit"))
+
+    def _candidates(self, case: Case) -> Result[list[Version], Refusal]:
+        """Returns usable versions that ordinary requests may get."""
+        model = case.request.model
+        named = [
+            case.catalog.versions[version]
+            for version in case.allowed
+            if version in case.catalog.versions
+            and model in {AUTO, version.model}
+        ]
+        if not named:
+            return Err(not_allowed(model))
+        usable = [v for v in named if not self.view.is_withdrawn(v.id)]
+        request = case.request
+        length = request.prompt_tokens + request.kind.max_output_tokens
+        usable = [v for v in usable if v.context_tokens >= length]
+        hidden = self._moved_by_rollouts(case, {v.id for v in usable})
+        usable = [v for v in usable if v.id not in hidden]
+        if not usable:
+            return Err(no_version(model))
+        return Ok(sorted(usable, key=lambda v: v.id))
+
+    def _moved_by_rollouts(
+        self, case: Case, usable: set[VersionId]
+    ) -> set[VersionId]:
+        """Returns versions that a roll-out holds back or has replaced."""
+        hidden = set()
+        for rollout in case.catalog.rollouts.values():
+            new, old = new_version(rollout), old_version(rollout)
+            if not self.rollouts.done(rollout):
+                hidden.add(new)
+            elif new in usable:
+                hidden.add(old)
+        return hidden
+
+    def _ranking(self, case: Case, candidates: list[Version]) -> Ranking:
+        if self.ranked_for is not case.catalog:
+            self.rankings.clear()
+            self.ranked_for = case.catalog
+        request = case.request
+        kind, session = request.kind, bool(request.session_id)
+        ids = tuple(version.id for version in candidates)
+        size = request.prompt_tokens.bit_length()
+        key = (ids, kind.name, case.hard, session, size)
+        now = self.now()
+        cached = self.rankings.get(key)
+        if cached and now - cached[0] < RANKING_S:
+            return cached[1]
+        target = min(1.0, kind.quality_target + self.windows.margin(kind))
+        question = Question(
+            kind, case.hard, session, target, request.prompt_tokens
+        )
+        labelled = [(v, self.watch.label(v.id)) for v in candidates]
+        ranking = rank(self.evidence, labelled, question)
+        if len(self.rankings) >= MAX_RANKINGS:
+            self.rankings.clear()
+        self.rankings[key] = (now, ranking)
+        return ranking
+
+    def _select(
+        self, case: Case, candidates: list[Version]
+    ) -> Result[Option, Refusal]:
+        """Returns the first option with free servers and enough time."""
+        full: set[VersionId] = set()
+        for option in self._ranking(case, candidates).options:
+            versions = [step.version for step in option.steps]
+            spent = [v for v in versions if self.pools.exhausted(v)]
+            full.update(spent)
+            if spent or (len(versions) > 1 and not self._in_time(case, option)):
+                continue
+            if full:
+                self.metrics.incr("choice.spilled")
+            return Ok(option)
+        return Err(pools_exhausted(sorted(map(str, full))))
+
+    def _in_time(self, case: Case, option: Option) -> bool:
+        cells = list(option.cells)
+        return in_time(self.evidence, case.request, self.now(), cells)
+
+    def _vary(
+        self, case: Case, option: Option, candidates: list[Version]
+    ) -> Plan:
+        """Applies roll-outs and exploration to the chosen option."""
+        moved = self._with_rollouts(case, option)
+        if moved is not None:
+            return self._plan(case, moved, "rollout")
+        explored = self._explore(case, option, candidates)
+        if explored is not None:
+            return self._plan(case, explored.steps, "explored")
+        reason = "cascade" if len(option.steps) > 1 else "direct"
+        return self._plan(case, option.steps, reason)
+
+    def _with_rollouts(
+        self, case: Case, option: Option
+    ) -> tuple[PlanStep, ...] | None:
+        for rollout in case.catalog.rollouts.values():
+            old = old_version(rollout)
+            if any(step.version == old for step in option.steps) and (
+                self._takes_new(case, rollout)
+            ):
+                new = new_version(rollout)
+                return tuple(
+                    dataclasses.replace(step, version=new)
+                    if step.version == old
+                    else step
+                    for step in option.steps
+                )
+        return None
+
+    def _takes_new(self, case: Case, rollout: Rollout) -> bool:
+        """Tells whether a request belongs to the share of the stage."""
+        index = self.rollouts.state(rollout).stage
+        new = new_version(rollout)
+        if not 0 <= index < len(rollout.stages) or not self._usable(case, new):
+            return False
+        request, stage = case.request, rollout.stages[index]
+        last = index == len(rollout.stages) - 1
+        if (request.kind.harmful and not last) or self.ratings.out():
+            return False
+        name = request.session_id or request.request_id
+        drawn = share_of(f"{rollout.name}|{name}")
+        if drawn >= stage.share or self.pools.exhausted(new):
+            return False
+        cell = Cell(self.watch.label(new), request.kind.name, case.hard)
+        prior = case.catalog.versions[new].prior_quality
+        upper = self.evidence.bounds(cell, prior).upper
+        if upper < request.kind.quality_target:
+            return False
+        return self.quota.may_start(new, rollout.name, stage.max_unrated)
+
+    def _explore(
+        self, case: Case, option: Option, candidates: list[Version]
+    ) -> Option | None:
+        """Returns a cheaper option of uncertain quality within the budget."""
+        request = case.request
+        kind = request.kind
+        budget = self.budgets.get(kind.name, 0.0) + EXPLORE_SHARE
+        self.budgets[kind.name] = min(EXPLORE_BURST, budget)
+        if budget < 1 or request.session_id or self.ratings.out():
+            return None
+        unknown = self._ranking(case, candidates).unknown
+        unknown = tuple(o for o in unknown if self._may_explore(case, o))
+        if not unknown:
+            return None
+        self.budgets[kind.name] -= 1
+        return self.random.choice(unknown)
+
+    def _may_explore(self, case: Case, option: Option) -> bool:
+        version = option.steps[0].version
+        if self.pools.exhausted(version):
+            return False
+        if self.watch.proven(version):
+            return True
+        if case.request.kind.harmful:
+            return False
+        return self.quota.may_start(version, str(version), DEFAULT_MAX_UNRATED)
+
+    def started(self, request: RoutedRequest, version: VersionId) -> None:
+        """Counts a request that goes to a version."""
+        self.outcomes.started(request, version)
+
+    def finished(
+        self,
+        request: RoutedRequest,
+        version: VersionId,
+        upstream: str,
+        outcome: str,
+        answer: str,
+    ) -> None:
+        """Counts its end; outcome as in `BillEntry` or `error`, `empty`."""
+        self.outcomes.finished(request, version, upstream, outcome, answer)
+
+    def passes_check(
+        self, request: RoutedRequest, version: VersionId, answer: str
+    ) -> bool:
+        """Tells whether the answer of a checked step is good enough."""
+        passed = self.check(request, answer)
+        self.metrics.incr("cascade.passed" if passed else "cascade.escalated")
+        return passed
--- a/packages/amaranthlug/src/amaranthlug/state/evidence.py
+++ b/packages/amaranthlug/src/amaranthlug/state/evidence.py
@@ -25,12 +25,21 @@
 """One-sided 95% quantile of the normal distribution."""
 
 
+def version_label(version: object, epoch: int = 0) -> str:
+    """Returns the name of a version in rows of evidence.
+
+    A readmitted version starts from nothing, on nodes that join later too,
+    so the number of its readmissions is part of the name.
+    """
+    return f"{version}#{epoch}" if epoch else str(version)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cell:
     """What a row of counters is about.
 
     Attributes:
-        version: `model@version`.
+        version: `model@version`; empty in rows of all delivered answers.
         kind: Request kind; empty in rows by server.
         hard: The request looked hard.
         server: Address of the server; empty in rows by kind.
@@ -161,6 +170,8 @@
         self.rows[incarnation] = {}
         self.folded: OrderedDict[str, None] = OrderedDict()
         self.pool: dict[Cell, Tally] = {}
+        self.versions: dict[str, Tally] = {}
+        self.servers: dict[str, dict[str, Tally]] = {}
         self.estimates: dict[Cell, Estimate] = {}
         self.generation = 0
         self.trust = 1.0
@@ -214,11 +225,17 @@
         return tally
 
     def _add_to_pool(self, cell: Cell, grown: Tally) -> None:
-        pooled = self.pool.setdefault(cell, Tally())
+        sums = [self.pool.setdefault(cell, Tally())]
+        if cell.server:
+            servers = self.servers.setdefault(cell.version, {})
+            servers[cell.server] = sums[0]
+        else:
+            sums.append(self.versions.setdefault(cell.version, Tally()))
         for name in COUNTERS:
             amount = getattr(grown, name)
             if amount:
-                setattr(pooled, name, getattr(pooled, name) + amount)
+                for pooled in sums:
+                    setattr(pooled, name, getattr(pooled, name) + amount)
         if grown.good or grown.bad:
             self.estimates.setdefault(cell, Estimate()).add(grown)
             self.generation += 1
@@ -256,13 +273,11 @@
 
     def by_version(self, version: str) -> Tally:
         """Returns the sum of a version over kinds and difficulties."""
-        total = Tally()
-        for cell, tally in self.pool.items():
-            if cell.version == version and not cell.server:
-                for name in COUNTERS:
-                    grown = getattr(total, name) + getattr(tally, name)
-                    setattr(total, name, grown)
-        return total
+        return self.versions.get(version) or Tally()
+
+    def by_server(self, version: str) -> dict[str, Tally]:
+        """Returns the sums of a version by server address."""
+        return self.servers.get(version, {})
 
     def fold(self, live: Iterable[str]) -> None:
         """Folds incarnations beyond the bound, departed and oldest first.
--- a/test/_policy.py
+++ b/test/_policy.py
@@ -2,8 +2,27 @@
 
 from result import Err, Ok
 
+from amaranthlug.coordination.evidence_pool import EvidencePool
 from amaranthlug.coordination.platform import PlatformError
+from amaranthlug.coordination.rating_pump import RatingPump
+from amaranthlug.coordination.withdrawal_watch import WithdrawalWatch
+from amaranthlug.protocol.cascade import structural_check
+from amaranthlug.protocol.services import RoutedRequest
+from amaranthlug.protocol.unproven_quota import UnprovenQuota
+from amaranthlug.protocol.version_choice import CostQualityChooser
+from amaranthlug.state.catalog import (
+    Catalog,
+    Organisation,
+    Pool,
+    RequestKind,
+    Upstream,
+    Version,
+    VersionId,
+)
+from amaranthlug.state.evidence import Cell, Evidence
 from amaranthlug.state.members import Member
+from amaranthlug.state.records import LogEntry, RolloutStep
+from amaranthlug.state.rollouts import RolloutFold, rollout_key
 
 
 class Clock:
@@ -74,3 +93,148 @@
         """Ignores gauges."""
 
     timing = gauge
+
+
+class FakeView:
+    """A configuration view over a catalogue that a test replaces."""
+
+    def __init__(self, catalog):
+        """Creates a view without withdrawals."""
+        self.current = catalog
+        self.withdrawn = set()
+
+    def catalog(self):
+        """Returns the catalogue."""
+        return self.current
+
+    def is_withdrawn(self, version):
+        """Tells whether a test or the watch withdrew a version."""
+        return version in self.withdrawn
+
+
+class FakePools:
+    """Pools that a test fills up."""
+
+    def __init__(self):
+        """Creates pools with room."""
+        self.full = set()
+
+    def exhausted(self, version):
+        """Tells whether a version's pool is full."""
+        return version in self.full
+
+
+def version_id(name):
+    """Returns the id of version 1 of a model, or of `model@version`."""
+    return VersionId.parse(name if "@" in name else f"{name}@1")
+
+
+def catalog_of(prices, rollouts=(), kinds=None, allowed=None):
+    """Returns a catalogue of versions by price, one pool for each."""
+    versions = {
+        version_id(name): Version(
+            version_id(name), f"pool-{name}", price, price, prior_quality=0.9
+        )
+        for name, price in prices.items()
+    }
+    kinds = kinds or [RequestKind("log", 0.9)]
+    allowed = versions if allowed is None else map(version_id, allowed)
+    ours = Organisation("ch-5", frozenset(), frozenset(allowed))
+    pools = {
+        f"pool-{name}": Pool(
+            f"pool-{name}",
+            tuple(Upstream(f"{name}:{i}", f"zone-{i % 3}") for i in range(4)),
+        )
+        for name in prices
+    }
+    return Catalog(
+        revision=1,
+        organisations={"ch-5": ours},
+        versions=versions,
+        pools=pools,
+        kinds={kind.name: kind for kind in kinds},
+        rollouts={rollout.name: rollout for rollout in rollouts},
+    )
+
+
+class Policy:
+    """A chooser with its collaborators and fakes."""
+
+    def __init__(self, catalog, nodes=1, **options):
+        """Creates the parts of one node."""
+        self.clock, self.metrics = Clock(), FakeMetrics()
+        self.view, self.pools = FakeView(catalog), FakePools()
+        self.evidence = Evidence("inc-0")
+        self.members = FakeMembers(nodes)
+        self.pool = EvidencePool(self.evidence, self.members)
+        self.service = FakeRatings()
+        self.ratings = RatingPump(
+            self.service, self.pool, self.metrics, self.clock
+        )
+        self.fold = RolloutFold()
+        self.ejected = []
+        self.watch = WithdrawalWatch(
+            self.view,
+            self.evidence,
+            self.fold,
+            lambda version, reason: self.view.withdrawn.add(version),
+            lambda *what: self.ejected.append(what),
+            self.metrics,
+        )
+        self.quota = UnprovenQuota(self.members, self.ratings, self.watch)
+        self.chooser = CostQualityChooser(
+            self.view,
+            self.evidence,
+            self.ratings,
+            self.fold,
+            self.watch,
+            self.quota,
+            self.pools,
+            self.metrics,
+            self.clock,
+            seed=1,
+            hard=options.get("hard", lambda request: False),
+            check=options.get("check", structural_check),
+        )
+        self.number = 0
+
+    def request(self, **changes):
+        """Returns a request of kind `log`."""
+        self.number += 1
+        catalog = self.view.current
+        values = {
+            "request_id": f"r{self.number}",
+            "organisation": catalog.organisations["ch-5"],
+            "kind": next(iter(catalog.kinds.values())),
+            "model": "auto",
+            "body": {},
+            "stream": False,
+            "deadline": self.clock() + 30,
+            "prompt_tokens": 100,
+            "digest": f"d{self.number}",
+        }
+        return RoutedRequest(**(values | changes))
+
+    def learn(self, name, good, bad, kind="log", **counts):
+        """Counts ratings of a version."""
+        cell = Cell(str(version_id(name)), kind, False)
+        self.evidence.count(cell, good=good, bad=bad, **counts)
+        self.clock.time += 1
+
+    def choose(self, pinned=None, **changes):
+        """Returns the plan or refusal of a new request."""
+        answer = self.chooser.choose(self.request(**changes), pinned)
+        return answer.ok() or answer.err()
+
+    def step(self, rollout, stage):
+        """Folds an accepted step of a roll-out."""
+        state = self.fold.state(rollout)
+        record = RolloutStep(
+            id=f"s{stage}",
+            rollout=rollout_key(rollout),
+            revision=1,
+            stage=stage,
+            replaces=state.offset,
+            holder="h",
+        )
+        self.fold.apply(LogEntry(offset=state.offset + 10, record=record))
--- /dev/null
+++ b/test/test_version_choice.py
@@ -0,0 +1,226 @@
+"""Guards the choice of versions: forbidden, bad or needlessly dear ones."""
+
+import time
+
+import pytest
+from _policy import Policy, catalog_of, version_id
+
+from amaranthlug.protocol import kind_window
+from amaranthlug.state.catalog import RequestKind, Rollout, RolloutStage
+from amaranthlug.state.evidence import Cell
+from amaranthlug.state.refusal import RefusalCode
+
+PRICES = {"cheap": 100_000, "mid": 400_000, "best": 2_000_000}
+
+KIND_CELL = Cell("", "log")
+
+ROLLOUT = Rollout(
+    "r", "mid", "1", "2", (RolloutStage(1.0, 20, 2), RolloutStage(1.0, 50, 9))
+)
+
+
+def names(plan):
+    """Returns the versions of a plan."""
+    return [str(step.version) for step in plan.steps]
+
+
+def learned(**ratings):
+    """Returns a policy whose versions have these (good, bad) ratings."""
+    policy = Policy(catalog_of(PRICES))
+    for name, (good, bad) in ratings.items():
+        policy.learn(name, good, bad)
+    return policy
+
+
+def test_cheapest_version_above_its_target_is_chosen():
+    """Choosing by the mean would pick a version that few ratings praise."""
+    policy = learned(cheap=(9, 0), mid=(960, 40), best=(990, 10))
+    assert names(policy.choose()) == ["mid@1"]
+    policy.learn("cheap", 950, 40)
+    assert names(policy.choose()) == ["cheap@1"]
+
+
+def test_changed_price_takes_effect_at_the_next_choice():
+    """A cached price would go on spending after a publication."""
+    policy = learned(mid=(960, 40), best=(990, 10))
+    assert names(policy.choose()) == ["mid@1"]
+    policy.view.current = catalog_of(PRICES | {"best": 10_000})
+    assert names(policy.choose()) == ["best@1"]
+
+
+def test_forbidden_and_withdrawn_versions_are_never_chosen():
+    """A cached ranking must not outlive a withdrawal or a permission."""
+    policy = learned(cheap=(990, 10), mid=(960, 40), best=(990, 10))
+    assert names(policy.choose()) == ["cheap@1"]
+    policy.view.withdrawn.add(version_id("cheap"))
+    assert names(policy.choose()) == ["mid@1"]
+    policy.view.current = catalog_of(PRICES, allowed=["best", "cheap"])
+    assert names(policy.choose()) == ["best@1"]
+    policy.view.withdrawn.add(version_id("best"))
+    refusal = policy.choose()
+    assert refusal.code == RefusalCode.NO_VERSION and refusal.not_run
+
+
+def test_pin_is_kept_unless_withdrawn_or_forbidden():
+    """A session that changes its version breaks promise `session-version`."""
+    policy = learned(cheap=(990, 10), best=(990, 10))
+    pin = version_id("best")
+    assert names(policy.choose(pinned=pin, session_id="s")) == ["best@1"]
+    policy.view.withdrawn.add(pin)
+    assert names(policy.choose(pinned=pin, session_id="s")) == ["cheap@1"]
+
+
+def test_explicit_model_and_version_are_honoured():
+    """A caller that names a version must not get another one."""
+    policy = learned(cheap=(990, 10))
+    assert names(policy.choose(model="best")) == ["best@1"]
+    assert names(policy.choose(model="mid@1")) == ["mid@1"]
+    for model in ("other", "best@9", "@"):
+        code = policy.choose(model=model).code
+        assert code == RefusalCode.VERSION_NOT_ALLOWED
+    policy.view.withdrawn.add(version_id("mid"))
+    assert policy.choose(model="mid@1").code == RefusalCode.NO_VERSION
+
+
+def test_full_pool_spills_to_the_next_cheapest_then_refuses():
+    """A full cheap pool must not stop requests that a dear one can take."""
+    policy = learned(cheap=(990, 10), mid=(960, 20), best=(990, 10))
+    policy.pools.full = {version_id("cheap")}
+    assert names(policy.choose()) == ["mid@1"]
+    policy.pools.full = set(map(version_id, PRICES))
+    refusal = policy.choose()
+    assert refusal.code == RefusalCode.POOL_EXHAUSTED
+    assert refusal.retry_after_s and refusal.not_run
+
+
+def explored(policy, count=200, **changes):
+    """Returns how many of many choices are explorations."""
+    plans = [policy.choose(**changes) for _ in range(count)]
+    return sum(plan.reason == "explored" for plan in plans)
+
+
+def test_exploration_keeps_its_budget_and_stops_when_the_answer_is_known():
+    """Unbounded exploration would push a kind below its target."""
+    policy = learned(cheap=(30, 5), best=(990, 10))
+    assert 5 <= explored(policy) <= 11
+    policy.learn("cheap", 100, 100)
+    policy.learn("mid", 100, 100)
+    assert explored(policy) == 0
+
+
+def test_no_exploration_in_a_rating_outage_or_of_harmful_kinds():
+    """Unrated or harmful requests must not test unproven versions."""
+    policy = learned(cheap=(5, 0), best=(990, 10))
+    policy.clock.time += 100
+    assert policy.ratings.out() and explored(policy) == 0
+    kinds = [RequestKind("log", 0.9, harmful=True)]
+    harmful = Policy(catalog_of(PRICES, kinds=kinds))
+    harmful.learn("best", 990, 10)
+    assert explored(harmful) == 0
+
+
+def test_kind_below_target_moves_up_at_once_and_down_slowly():
+    """A kind that fails its target must not wait for all its evidence."""
+    policy = learned(cheap=(955, 45), best=(990, 10))
+    assert names(policy.choose()) == ["cheap@1"]
+    policy.evidence.count(KIND_CELL, good=30, bad=15)
+    policy.clock.time += 2
+    policy.choose()
+    policy.clock.time += kind_window.SNAPSHOT_S
+    policy.evidence.count(KIND_CELL, good=30, bad=15)
+    policy.clock.time += kind_window.SNAPSHOT_S
+    assert names(policy.choose()) == ["best@1"]
+    policy.clock.time += kind_window.CALM_S / 2
+    policy.ratings.fetch()
+    assert names(policy.choose()) == ["best@1"]
+    for _ in range(3):
+        policy.clock.time += kind_window.CALM_S
+        policy.choose()
+    assert names(policy.choose()) == ["cheap@1"]
+
+
+def checked(policy):
+    """Lets a cheap version pass its check often, and rightly so."""
+    counts = {"complete": 1000, "passed": 800, "latency_ms": 500_000}
+    policy.learn("cheap", 800, 200, pass_good=790, pass_bad=5, **counts)
+    policy.learn("best", 990, 10, complete=1000, latency_ms=1_000_000)
+
+
+def test_cascade_is_used_when_it_is_cheaper_and_good_enough():
+    """Without it easy requests of a mixed kind would all go to the best."""
+    policy = learned()
+    checked(policy)
+    plan = policy.choose()
+    assert names(plan) == ["cheap@1", "best@1"]
+    assert [step.check for step in plan.steps] == [True, False]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"deadline": 1003.0},
+        {"stream": True, "kind": RequestKind("log", 0.9, first_token_ms=900)},
+        {"session_id": "s"},
+    ],
+)
+def test_cascade_is_not_started_when_it_cannot_fit(changes):
+    """A cascade that starts too late misses the deadline or first token."""
+    policy = learned()
+    checked(policy)
+    assert names(policy.choose(**changes)) == ["best@1"]
+
+
+def canary(kinds=None, **options):
+    """Returns a policy with a roll-out of mid@2 at its first stage."""
+    prices = {"mid@1": 400_000, "mid@2": 400_000}
+    catalog = catalog_of(prices, [ROLLOUT], kinds)
+    policy = Policy(catalog, **options)
+    policy.learn("mid@1", 960, 20)
+    policy.step(ROLLOUT, 0)
+    return policy
+
+
+def test_unproven_version_is_bounded_by_requests_not_yet_rated():
+    """A bad version would reach callers faster than ratings can tell."""
+    policy = canary()
+    plans = []
+    for _ in range(20):
+        request = policy.request()
+        plan = policy.chooser.choose(request, None).unwrap()
+        version = plan.steps[0].version
+        policy.chooser.started(request, version)
+        policy.chooser.finished(request, version, "s", "complete", "a b c")
+        plans += names(plan)
+    assert plans.count("mid@2") == ROLLOUT.stages[0].max_unrated
+
+
+def test_new_version_gets_no_harmful_kind_and_nothing_before_its_stage():
+    """Harm by an unproven version cannot be undone."""
+    kinds = [RequestKind("log", 0.9, harmful=True)]
+    policy = canary(kinds)
+    assert names(policy.choose()) == ["mid@1"]
+    policy.step(ROLLOUT, 1)
+    assert names(policy.choose()) == ["mid@2"]
+    policy.step(ROLLOUT, 2)
+    assert policy.fold.done(ROLLOUT)
+    assert names(policy.choose()) == ["mid@2"]
+
+
+def test_quota_of_all_nodes_adds_up_to_the_bound():
+    """A quota rounded up on each node would exceed the bound."""
+    policy = canary(nodes=8)
+    total = 0
+    for member in policy.members.all:
+        policy.members.me = member
+        total += policy.quota.quota(version_id("mid@2"), "r", 11)
+    assert total == 11
+
+
+def test_choice_is_fast():
+    """A slow choice would add to the first token of every request."""
+    policy = learned(cheap=(700, 300), mid=(900, 100), best=(990, 10))
+    requests = [policy.request() for _ in range(2_000)]
+    start = time.perf_counter()
+    for request in requests:
+        policy.chooser.choose(request, None)
+    assert (time.perf_counter() - start) / 2_000 < 1e-4
