Let the margin of a kind fall after exactly its calm time

A margin checked exactly at the end of the calm time waited for another one. Change: the comparison includes the end of the calm time.

--- a/packages/amaranthlug/src/amaranthlug/protocol/kind_window.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/kind_window.py
@@ -74,6 +74,6 @@
             window.changed_at = now
             # The next move up needs ratings given after this one.
             window.seen = deque([last])
-        elif window.margin and now - window.changed_at > CALM_S:
+        elif window.margin and now - window.changed_at >= CALM_S:
             window.margin = max(0.0, window.margin - STEP)
             window.changed_at = now
