Add run register and session pins over the slot leases

Cause: a key must run at most once and a session keep its version when owners die, pause or are cut off. Change: write-once pins and a run register at the owner of a slot, copied to all named successors before an acknowledgement; waits for running requests, ends that are sent until stored, bounds and retention. `RunTicket` moves to the state layer, since coordination may not import the request path.

--- a/packages/amaranthlug/src/amaranthlug/protocol/services.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/services.py
@@ -14,6 +14,7 @@
 )
 from amaranthlug.state.records import BillEntry
 from amaranthlug.state.refusal import Refusal
+from amaranthlug.state.runs import RunTicket
 
 
 @dataclasses.dataclass
@@ -137,19 +138,6 @@
         ...
 
 
-@dataclasses.dataclass(frozen=True)
-class RunTicket:
-    """Permission to run a keyed request, or the answer of its first run.
-
-    Attributes:
-        run: True when the caller of `begin` must run the request.
-        answer: Stored answer of an earlier run when `run` is False.
-    """
-
-    run: bool
-    answer: dict[str, Any] | None = None
-
-
 class RunRegister(Protocol):
     """Runs of requests that carry an idempotency key."""
 
--- a/test/_fakes_fleet.py
+++ b/test/_fakes_fleet.py
@@ -15,6 +15,8 @@
 )
 from amaranthlug.coordination.platform import PlatformError
 from amaranthlug.coordination.rumours import RumourMill
+from amaranthlug.coordination.run_register import SlotRunRegister
+from amaranthlug.coordination.session_pins import SlotSessionPins
 from amaranthlug.coordination.slot_claims import SlotClaims
 from amaranthlug.coordination.slots import SlotKeeper
 from amaranthlug.coordination.timers import TimerService
@@ -219,20 +221,23 @@
             self.metrics,
             timings,
             wall_s=lambda: fleet.time,
-            pause=lambda seconds: gevent.sleep(0),
+            pause=fleet.wait,
         )
         self.claims = SlotClaims(
             self.slots, self.feed, self.membership.certainly_gone
         )
-        self.build()
-        parts = (self.vms, self.membership, self.exchange)
-        for part in (*parts, self.slots, self.claims):
+        self.runs = SlotRunRegister(self.slots, self.handlers)
+        self.withdrawn = set()
+        self.pins = SlotSessionPins(
+            self.slots,
+            self.handlers,
+            lambda organisation, version: str(version) not in self.withdrawn,
+        )
+        parts = (self.vms, self.membership, self.exchange, self.slots)
+        for part in (*parts, self.claims, self.runs, self.pins):
             part.start()
         self.timers.every("log", 0.5, self.feed.poll)
 
-    def build(self):
-        """Adds the parts under test."""
-
 
 class Fleet:
     """Nodes that share a clock, a log and a VM list."""
@@ -241,6 +246,7 @@
 
     def __init__(self, count, zones=("a", "b", "c"), timings=None):
         self.time = 1_000.0
+        self.main = gevent.getcurrent()
         self.timings = timings or Timings()
         self.nodes = {}
         self.log = FakeLog()
@@ -284,6 +290,23 @@
             return False
         return (sender, receiver) not in self.cuts
 
+    def wait(self, seconds):
+        """Waits for fake time within a greenlet; not in the main one."""
+        if gevent.getcurrent() is self.main:
+            return
+        end = self.time + seconds
+        while self.time < end:
+            gevent.sleep(0)
+
+    def call(self, function, *arguments, limit_s=60):
+        """Calls a function in a greenlet while time runs."""
+        task = gevent.spawn(function, *arguments)
+        settle()
+        end = self.time + limit_s
+        while not task.ready() and self.time < end:
+            self.run(STEP_S)
+        return task.get(block=False)
+
     def owners(self, slot):
         """Returns the addresses of nodes that may act on a slot now."""
         return [
