--- a/packages/amaranthlug/src/amaranthlug/coordination/log_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/log_follower.py
@@ -31,7 +31,7 @@
 )
 from amaranthlug.coordination.timers import Subscription, TimerService
 from amaranthlug.state.record_codec import decode_record, encode_record
-from amaranthlug.state.records import AnyRecord, LogEntry
+from amaranthlug.state.records import AnyRecord, LogEntry, UnknownRecord
 from amaranthlug.state.rendezvous import rendezvous_order
 from amaranthlug.state.settings import Timings
 
@@ -227,6 +227,8 @@
             return read
         page = read.ok_value
         self.deliver(page.records)
+        if page.first >= page.end:
+            self.skip_to(page.end - 1)
         if self.offset + 1 >= page.end:
             self.confirm(sent_at)
             return Ok(True)
@@ -255,6 +257,20 @@
                 self.store.add(raw.offset, raw.record)
                 self.call_folds(decode_record(raw.offset, raw.record))
 
+    def skip_to(self, offset: int) -> None:
+        """Goes to the end of a log whose records have all expired.
+
+        The folds learn of the gap, but nothing is stored in its place, so
+        that no peer takes it for the record that has expired.
+        """
+        with self.delivering:
+            if offset <= self.offset:
+                return
+            self.offset = offset
+            self.store.restart(offset + 1)
+            expired = UnknownRecord(id="expired")
+            self.call_folds(LogEntry(offset=offset, record=expired))
+
     def call_folds(self, entry: LogEntry) -> None:
         """Calls every fold; one that fails must not stop the others."""
         for call in self.calls:
--- a/packages/amaranthlug/src/amaranthlug/coordination/log_store.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/log_store.py
@@ -40,9 +40,7 @@
     def add(self, offset: int, raw: Any) -> None:
         """Adds the next record; a gap before it empties the store."""
         if offset != self.next_offset():
-            self.records.clear()
-            self.bytes = 0
-            self.first = offset
+            self.restart(offset)
         stored = StoredRecord(offset, msgspec.json.encode(raw))
         self.records.append(stored)
         self.bytes += len(stored.body)
@@ -51,6 +49,12 @@
             self.bytes -= len(dropped.body)
             self.first = dropped.offset + 1
 
+    def restart(self, offset: int) -> None:
+        """Empties the store; it goes on with an offset."""
+        self.records.clear()
+        self.bytes = 0
+        self.first = offset
+
     def next_offset(self) -> int:
         """Returns the offset that continues the store without a gap."""
         return self.records[-1].offset + 1 if self.records else self.first
