Add builders, fleet, load, counts, experiments and demo

Cause: Tests, demo and experiments need whole deployments under load and counts that come from what engines, services and callers saw. Change: Add builders of test data, sample deployments, the fleet in one process or as real processes, open-loop callers, the counts, the scenarios steady and config-race, and the commands experiment and demo. Scenarios and demo were not run, because no node exists yet.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/answers.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/answers.py
@@ -19,7 +19,7 @@
 SHORTEST_ANSWER = 12
 """Least number of words of an answer, its first word included."""
 
-ANSWER_SPREAD = {EASY: 28, HARD: 88}
+ANSWER_SPREAD = {EASY: 28, HARD: 60}
 """Range above the shortest answer, in words, by difficulty."""
 
 # fmt: off
@@ -37,6 +37,13 @@
 """64 words, so that each takes 6 bits of a hash."""
 
 WORDS_PER_HASH = 10
+
+GIVE_UP_SHARE = 0.5
+"""Share of bad answers that a check of their form finds; they are short."""
+
+GIVE_UP_WORD = "unclear"
+"""Second and last word of a short bad answer; not in the vocabulary."""
+
 LENGTH_MARK = re.compile(r"\bwords:(\d+)\b")
 KIND_MARK = re.compile(r"\bkind:([\w.-]+)")
 
@@ -116,6 +123,8 @@
         good: Whether the answer is a good one.
     """
     digest = prompt_digest(prompt)
+    if not good and chance(0, "give up", digest, version) < GIVE_UP_SHARE:
+        return [f"re-{digest}", GIVE_UP_WORD]
     return words_from_digest(digest, version, good, answer_length(prompt))
 
 
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/batch.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/batch.py
@@ -43,6 +43,7 @@
         words: The whole answer.
         first: Index of the first token that this run generates.
         position: Index of the next token to generate.
+        first_at: Wall-clock time of its first token, 0 before it.
         outcome: `running`, `complete`, `cancelled`, `abandoned`, `crashed`.
         reader: Number of the reader that may write; an older one stops.
         unread_since: Monotonic time when its reader went away.
@@ -61,6 +62,7 @@
     good: bool = True
     outcome: str = "running"
     started_at: float = 0.0
+    first_at: float = 0.0
     ended_at: float = 0.0
     ready_at: float = 0.0
     reader: int = 0
@@ -170,6 +172,8 @@
         """Generates up to `steps` tokens of a run."""
         position = min(run.position + steps, len(run.words))
         self.tokens += position - run.position
+        if not run.first_at and position > run.position:
+            run.first_at = time.time()
         run.position = position
         if position >= len(run.words):
             run.end("complete")
--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/counts.py
@@ -0,0 +1,288 @@
+"""Counts of an experiment, from callers, engines, services and bills."""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from amaranthlug.state.catalog import Catalog
+from amaranthlug_standins.answers import Quality
+from amaranthlug_standins.costs import best_model_cost, oracle_cost
+from amaranthlug_standins.history import ANSWERED, FAILED, REFUSED, Call
+from amaranthlug_standins.truth import Truth
+
+WITHDRAWAL_LIMIT_S = 3.0
+"""Seconds after which a withdrawal is in force everywhere (target)."""
+
+MIN_WINDOW_ANSWERS = 30
+"""Smaller groups say too little about a target."""
+
+WINDOW_S = 10.0
+
+ONE_SIDED_95 = 1.645
+"""Standard errors by which a sample may miss a target that is met."""
+
+PROMISES = (
+    "answered_not_whole",
+    "unanswered",
+    "refused_not_run_but_ran",
+    "billed_twice",
+    "unbilled",
+    "ran_twice_non_idempotent",
+    "disallowed_version",
+    "after_withdrawal",
+    "session_moved",
+    "config_reverted",
+    "config_not_in_force",
+)
+"""Counts that must be 0."""
+
+
+@dataclasses.dataclass
+class Counts:
+    """Result of an experiment; the counts named in `PROMISES` must be 0.
+
+    Attributes:
+        unanswered: Calls that ended with neither an answer nor a refusal.
+        after_withdrawal: Runs of a withdrawn version that started more than
+            3 s after the withdrawal was on the log.
+        cost_ratio_to_best_model: Billed cost over that of the dearest allowed
+            version, for answered calls with one bill.
+        cost_ratio_to_oracle: The same over the oracle's cost.
+        target_met_share: Share of groups (kind and window of 10 s after
+            warm-up, at least 30 answers) whose good answers are not
+            significantly below the target (one-sided, 95%).
+        router_added_ttft_p95_ms: Time to the first token at the caller less
+            that at the engine, for streams that ran once.
+        exposed_callers: Calls answered badly by a version declared bad.
+        config_reverted: Times that a node's revision was seen to fall.
+        config_not_in_force: Nodes without the last accepted revision 12 s
+            after it was on the log.
+    """
+
+    scenario: str
+    seed: int
+    requests: int = 0
+    answered_whole: int = 0
+    answered_not_whole: int = 0
+    refused: int = 0
+    unanswered: int = 0
+    refused_not_run_but_ran: int = 0
+    billed_once: int = 0
+    billed_twice: int = 0
+    unbilled: int = 0
+    ran_twice_non_idempotent: int = 0
+    disallowed_version: int = 0
+    after_withdrawal: int = 0
+    session_moved: int = 0
+    cost_ratio_to_best_model: float | None = None
+    cost_ratio_to_oracle: float | None = None
+    target_met_share: float | None = None
+    ttft_p95_ms: float | None = None
+    router_added_ttft_p95_ms: float | None = None
+    exposed_callers: int = 0
+    config_reverted: int = 0
+    config_not_in_force: int = 0
+    refusals: dict[str, int] = dataclasses.field(default_factory=dict)
+    notes: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+    def broken(self) -> list[str]:
+        """Returns the names of broken promises."""
+        return [name for name in PROMISES if getattr(self, name)]
+
+    def exit_code(self) -> int:
+        """Returns 1 if a promise is broken, else 0."""
+        return 1 if self.broken() else 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Setting:
+    """What a run was, as far as counting needs it.
+
+    Attributes:
+        withdrawn_at: Wall-clock time of each withdrawal by version.
+        bad_versions: Versions that the scenario made bad.
+        warm_until: Wall-clock time at which the warm-up ended.
+    """
+
+    catalog: Catalog
+    qualities: Mapping[str, Quality]
+    withdrawn_at: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    bad_versions: frozenset[str] = frozenset()
+    warm_until: float = 0.0
+
+
+def count(
+    scenario: str,
+    seed: int,
+    calls: Sequence[Call],
+    truth: Truth,
+    setting: Setting,
+) -> Counts:
+    """Counts a run."""
+    counts = Counts(scenario, seed, requests=len(calls))
+    refusals: collections.Counter[str] = collections.Counter()
+    for call in calls:
+        count_outcome(counts, call, truth)
+        count_runs(counts, call, truth, setting)
+        if not call.service:
+            count_bills(counts, call, truth)
+        if call.outcome in (REFUSED, FAILED):
+            refusals[f"{call.outcome}: {call.code}"[:80]] += 1
+    counts.refusals = dict(refusals)
+    counts.session_moved = sessions_moved(calls, setting)
+    counts.exposed_callers = sum(
+        call.outcome == ANSWERED
+        and not call.good
+        and call.version in setting.bad_versions
+        for call in calls
+    )
+    count_costs(counts, calls, truth, setting)
+    counts.target_met_share = target_met_share(calls, setting)
+    count_first_tokens(counts, calls, truth)
+    return counts
+
+
+def count_outcome(counts: Counts, call: Call, truth: Truth) -> None:
+    """Counts how a call ended."""
+    if call.outcome == ANSWERED and call.whole and call.own:
+        counts.answered_whole += 1
+    elif call.outcome == ANSWERED:
+        counts.answered_not_whole += 1
+    elif call.outcome == REFUSED:
+        counts.refused += 1
+        if call.not_run and call.attempts == 1 and truth.ran(call):
+            counts.refused_not_run_but_ran += 1
+    else:
+        counts.unanswered += 1
+
+
+def count_runs(
+    counts: Counts, call: Call, truth: Truth, setting: Setting
+) -> None:
+    """Counts runs that no promise allows."""
+    if call.service:
+        if not call.idempotent and truth.service_runs[call.path] > 1:
+            counts.ran_twice_non_idempotent += 1
+        return
+    runs = truth.runs_of(call)
+    if not call.idempotent and sum(run.first == 0 for run in runs) > 1:
+        counts.ran_twice_non_idempotent += 1
+    allowed = setting.catalog.organisations[call.organisation].allowed
+    names = {str(version) for version in allowed}
+    counts.disallowed_version += any(run.version not in names for run in runs)
+    for run in runs:
+        withdrawn_at = setting.withdrawn_at.get(run.version, math.inf)
+        if run.started_at > withdrawn_at + WITHDRAWAL_LIMIT_S:
+            counts.after_withdrawal += 1
+
+
+def count_bills(counts: Counts, call: Call, truth: Truth) -> None:
+    """Counts the bills of a chat call.
+
+    A caller without a key that sends again sends another request, which has a
+    bill of its own.
+    """
+    bills = len(truth.bills_of(call))
+    expected = 1 if call.key else call.attempts
+    if bills > expected:
+        counts.billed_twice += 1
+    elif bills:
+        counts.billed_once += 1
+    elif call.outcome == ANSWERED or any(
+        run.generated for run in truth.runs_of(call)
+    ):
+        counts.unbilled += 1
+
+
+def sessions_moved(calls: Sequence[Call], setting: Setting) -> int:
+    """Counts answers on another version than the session's one before.
+
+    Concurrent first calls of a session are compared too: the order of the
+    answers does not matter, because all must have the same version. A call
+    that says why the session moved starts a new version.
+    """
+    seen: dict[tuple[str, str], set[str]] = {}
+    moved = 0
+    for call in sorted(calls, key=lambda call: call.ended_at):
+        if not call.session or call.outcome != ANSWERED:
+            continue
+        versions = seen.setdefault((call.organisation, call.session), set())
+        if call.version in versions:
+            continue
+        gone = versions <= set(setting.withdrawn_at)
+        if versions and not call.moved and not gone:
+            moved += 1
+        versions.add(call.version)
+    return moved
+
+
+def count_costs(
+    counts: Counts, calls: Sequence[Call], truth: Truth, setting: Setting
+) -> None:
+    """Compares billed costs with the best model's and the oracle's."""
+    billed = best = oracle = 0
+    for call in calls:
+        if call.service or call.outcome != ANSWERED or call.attempts > 1:
+            continue
+        bills = truth.bills_of(call)
+        if len(bills) != 1:
+            continue
+        billed += bills[0].cost
+        best += best_model_cost(setting.catalog, call)
+        oracle += oracle_cost(
+            setting.catalog, setting.qualities, call, setting.bad_versions
+        )
+    if best and oracle:
+        counts.cost_ratio_to_best_model = round(billed / best, 4)
+        counts.cost_ratio_to_oracle = round(billed / oracle, 4)
+    counts.notes["billed_micro_units"] = billed
+    counts.notes["best_model_micro_units"] = best
+
+
+def target_met_share(calls: Sequence[Call], setting: Setting) -> float | None:
+    """Returns the share of kinds and windows that met the target."""
+    groups: dict[tuple[str, int], list[bool]] = {}
+    for call in calls:
+        if call.service or call.outcome != ANSWERED:
+            continue
+        if call.due_at < setting.warm_until:
+            continue
+        window = int((call.due_at - setting.warm_until) / WINDOW_S)
+        groups.setdefault((call.kind, window), []).append(call.good)
+    met = []
+    for (kind, _), good in groups.items():
+        if len(good) < MIN_WINDOW_ANSWERS:
+            continue
+        target = setting.catalog.kinds[kind].quality_target
+        error = math.sqrt(target * (1 - target) / len(good))
+        share = sum(good) / len(good)
+        met.append(share >= target - ONE_SIDED_95 * error)
+    return round(sum(met) / len(met), 4) if met else None
+
+
+def count_first_tokens(
+    counts: Counts, calls: Sequence[Call], truth: Truth
+) -> None:
+    """Measures times to the first token of answered streams."""
+    times, added = [], []
+    for call in calls:
+        if call.first_token_s < 0 or call.outcome != ANSWERED:
+            continue
+        times.append(call.first_token_s * 1000)
+        runs = truth.runs_of(call)
+        if len(runs) == 1 and runs[0].first_at and call.attempts == 1:
+            at_engine = runs[0].first_at - runs[0].started_at
+            added.append((call.first_token_s - at_engine) * 1000)
+    counts.ttft_p95_ms = percentile(times, 0.95)
+    counts.router_added_ttft_p95_ms = percentile(added, 0.95)
+
+
+def percentile(values: Sequence[float], share: float) -> float | None:
+    """Returns the value below which a share lies, None without values."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    rank = max(0, math.ceil(share * len(ordered)) - 1)
+    return round(ordered[rank], 3)
--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/demo.py
@@ -0,0 +1,113 @@
+"""The demo: both sample deployments in one process under a mixed load."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from amaranthlug.state.catalog import MICRO_UNITS
+from amaranthlug.state.settings import Timings
+from amaranthlug_standins.counts import Counts
+from amaranthlug_standins.deployments import both
+from amaranthlug_standins.fleet import Fleet
+from amaranthlug_standins.fleet_parts import FleetOptions
+from amaranthlug_standins.mixes import sample_mix
+from amaranthlug_standins.trial import (
+    Progress,
+    Trial,
+    finish_all,
+    run_loads,
+    start_fleets,
+    stop_fleets,
+)
+
+LOAD_S = 16.0
+RATE = 14.0
+"""Requests a second on each deployment; all run in one process."""
+
+TIMINGS = Timings(load_poll_s=1.0)
+"""One process polls for 15 nodes, so that each polls half as often."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Row:
+    """Result of one deployment."""
+
+    deployment: str
+    requests: int
+    answered_once_whole: int
+    billed_once: int
+    cost_per_request: float | None
+    best_model_cost_per_request: float | None
+    target_met_share: float | None
+    ttft_p95_ms: float | None
+    bad_version_answers: int
+    broken_promises: list[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class DemoResult:
+    """Result of the demo; `counts` holds all counts by deployment."""
+
+    rows: list[Row]
+    counts: Mapping[str, Counts]
+
+    def exit_code(self) -> int:
+        """Returns 1 if a promise is broken, else 0."""
+        return 1 if any(row.broken_promises for row in self.rows) else 0
+
+    def to_json(self) -> dict[str, Any]:
+        """Returns the result as one JSON object."""
+        return {
+            "deployments": [dataclasses.asdict(row) for row in self.rows],
+            "counts": {
+                name: dataclasses.asdict(counts)
+                for name, counts in self.counts.items()
+            },
+            "ok": self.exit_code() == 0,
+        }
+
+
+def per_request(counts: Counts, note: str) -> float | None:
+    """Returns a cost in currency units for each billed request."""
+    total = counts.notes.get(note)
+    if not total or not counts.billed_once:
+        return None
+    return round(total / MICRO_UNITS / counts.billed_once, 9)
+
+
+def row_of(name: str, counts: Counts) -> Row:
+    """Returns the row of one deployment."""
+    return Row(
+        deployment=name,
+        requests=counts.requests,
+        answered_once_whole=counts.answered_whole,
+        billed_once=counts.billed_once,
+        cost_per_request=per_request(counts, "billed_micro_units"),
+        best_model_cost_per_request=per_request(
+            counts, "best_model_micro_units"
+        ),
+        target_met_share=counts.target_met_share,
+        ttft_p95_ms=counts.ttft_p95_ms,
+        bad_version_answers=counts.exposed_callers,
+        broken_promises=counts.broken(),
+    )
+
+
+def run(seed: int, progress: Progress) -> DemoResult:
+    """Runs the demo."""
+    options = FleetOptions(seed=seed, processes=False, timings=TIMINGS)
+    fleets = [Fleet(deployment, options) for deployment in both()]
+    start_fleets(fleets)
+    try:
+        trials = [
+            Trial.from_mix(
+                "demo", seed, fleet, sample_mix(fleet.deployment, RATE, LOAD_S)
+            )
+            for fleet in fleets
+        ]
+        run_loads(trials, progress)
+        counts = finish_all(trials)
+    finally:
+        stop_fleets(fleets)
+    rows = [row_of(name, found) for name, found in counts.items()]
+    return DemoResult(rows, counts)
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/engine.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/engine.py
@@ -226,6 +226,7 @@
         "good": run.good,
         "outcome": run.outcome,
         "started_at": run.started_at,
+        "first_at": run.first_at,
         "ended_at": run.ended_at,
     }
 
--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/steady.py
@@ -0,0 +1,42 @@
+"""Both sample deployments under their mixes, as real processes."""
+
+from collections.abc import Mapping
+
+from amaranthlug_standins.counts import Counts
+from amaranthlug_standins.deployments import both
+from amaranthlug_standins.fleet import Fleet
+from amaranthlug_standins.fleet_parts import FleetOptions
+from amaranthlug_standins.mixes import sample_mix
+from amaranthlug_standins.trial import (
+    Progress,
+    Trial,
+    finish_all,
+    run_loads,
+    start_fleets,
+    stop_fleets,
+)
+
+LOAD_S = 18.0
+RATE = 40.0
+"""Requests a second on each deployment."""
+
+
+def run(seed: int, progress: Progress) -> Mapping[str, Counts]:
+    """Runs the scenario and returns counts by deployment."""
+    options = FleetOptions(seed=seed)
+    fleets = [Fleet(deployment, options) for deployment in both()]
+    start_fleets(fleets)
+    try:
+        trials = [
+            Trial.from_mix(
+                "steady",
+                seed,
+                fleet,
+                sample_mix(fleet.deployment, RATE, LOAD_S),
+            )
+            for fleet in fleets
+        ]
+        run_loads(trials, progress)
+        return finish_all(trials)
+    finally:
+        stop_fleets(fleets)
--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
@@ -0,0 +1,318 @@
+"""Starts and stops a whole deployment for tests, demo and experiments."""
+
+import importlib
+import json
+import pathlib
+import tempfile
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import gevent
+import msgspec
+import yaml
+
+from amaranthlug.state.records import Publication, Record
+from amaranthlug.state.settings import (
+    NodeSettings,
+    PeerSettings,
+    PlatformSettings,
+)
+from amaranthlug_standins.builders import make_publication
+from amaranthlug_standins.children import Child, stop_all
+from amaranthlug_standins.deployments import Deployment
+from amaranthlug_standins.engine import EngineConfig, EngineStandIn
+from amaranthlug_standins.fleet_parts import (
+    FleetOptions,
+    Part,
+    RunningNode,
+    free_ports,
+)
+from amaranthlug_standins.http_json import call_json
+from amaranthlug_standins.log import LogStandIn
+from amaranthlug_standins.rating import RatingStandIn
+from amaranthlug_standins.service import ServiceConfig, ServiceStandIn
+from amaranthlug_standins.standin import LOOPBACK, StandIn
+from amaranthlug_standins.vm_list import VmListConfig, VmListStandIn
+from amaranthlug_standins.weights import WeightsConfig, WeightsStandIn
+
+READY_LIMIT_S = 25.0
+DRAIN_LIMIT_S = 12.0
+PEER_KEYS = {"k1": "loopback-test-key"}
+
+
+class FleetError(Exception):
+    """A fleet did not get ready; the message says which part."""
+
+
+class Fleet:
+    """The stand-ins and nodes of one deployment."""
+
+    def __init__(self, deployment: Deployment, options: FleetOptions):
+        """Creates a fleet that is not started."""
+        self.deployment = deployment
+        self.options = options
+        self.folder = tempfile.TemporaryDirectory(prefix="amaranthlug-")
+        self.children: list[Child] = []
+        self.parts: dict[str, Part] = {}
+        self.engines: list[Part] = []
+        self.services: list[Part] = []
+        self.nodes: list[RunningNode] = []
+        self.addresses: dict[str, str] = {}
+        self.placeholder: dict[str, Part] = {}
+
+    def start(self, with_nodes: bool = True) -> "Fleet":
+        """Starts everything, publishes the configuration and waits.
+
+        Raises:
+            FleetError: A node did not get ready in time.
+        """
+        try:
+            self.start_standins()
+            self.register_upstreams()
+            revision = self.publish(self.wired_parts())
+            if with_nodes:
+                self.start_nodes()
+                self.wait_revision(revision)
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def start_standins(self) -> None:
+        """Starts platform services, engines and plain services."""
+        seed, options = self.options.seed, self.options
+        pending: list[tuple[str, type[StandIn], Any]] = [
+            ("log", LogStandIn, options.log),
+            ("vm_list", VmListStandIn, VmListConfig(seed=seed)),
+            ("rating", RatingStandIn, options.rating),
+            ("weights", WeightsStandIn, WeightsConfig(seed=seed)),
+        ]
+        placeholders: dict[str, tuple[str, bool]] = {}
+        for pool in self.deployment.catalog.pools.values():
+            for index, upstream in enumerate(pool.upstreams):
+                name = f"{pool.name}-{index + 1}"
+                placeholders[name] = (upstream.address, pool.engine)
+                if pool.engine:
+                    config = self.engine_config(pool.name, index, upstream.zone)
+                    pending.append((name, EngineStandIn, config))
+                else:
+                    plain = ServiceConfig(seed=seed, zone=upstream.zone)
+                    pending.append((name, ServiceStandIn, plain))
+        for name, part in self.start_parts(pending):
+            self.parts[name] = part
+            if name in placeholders:
+                address, engine = placeholders[name]
+                self.placeholder[address] = part
+                (self.engines if engine else self.services).append(part)
+
+    def engine_config(self, pool: str, index: int, zone: str) -> EngineConfig:
+        """Returns the configuration of one engine of a pool."""
+        return EngineConfig(
+            seed=self.options.seed,
+            zone=zone,
+            versions=self.deployment.versions_of(pool),
+            qualities=dict(self.deployment.qualities),
+            pace=self.options.pace,
+            checks_fence=self.options.checks_fence(index),
+        )
+
+    def start_parts(
+        self, pending: list[tuple[str, type[StandIn], Any]]
+    ) -> Iterator[tuple[str, Part]]:
+        """Starts stand-ins; processes start beside each other."""
+        if not self.options.processes:
+            for name, standin_class, config in pending:
+                standin = standin_class.from_config(config).start()
+                yield (
+                    name,
+                    Part(
+                        name, standin.address, standin.control_address, standin
+                    ),
+                )
+            return
+        started = []
+        for name, standin_class, config in pending:
+            args = [
+                standin_class.__module__,
+                "--watch-stdin",
+                f"--seed={config.seed}",
+                f"--config=@{self.config_file(name, config)}",
+            ]
+            child = Child.spawn(name, args, pathlib.Path(self.folder.name))
+            self.children.append(child)
+            started.append((name, child))
+        for name, child in started:
+            ready = child.read_ready()
+            yield (
+                name,
+                Part(name, ready["address"], ready["control"], child=child),
+            )
+
+    def config_file(self, name: str, config: Any) -> pathlib.Path:
+        """Writes the configuration of a stand-in and returns its path."""
+        path = pathlib.Path(self.folder.name) / f"{name}.json"
+        path.write_bytes(msgspec.json.encode(config))
+        return path
+
+    def register_upstreams(self) -> None:
+        """Puts all upstreams on the VM list."""
+        for pool in self.deployment.catalog.pools.values():
+            for upstream in pool.upstreams:
+                self.register_vm(
+                    self.placeholder[upstream.address].address,
+                    upstream.zone,
+                    "engine" if pool.engine else "service",
+                )
+
+    def register_vm(
+        self, address: str, zone: str, role: str, state: str = "live"
+    ) -> None:
+        """Adds a VM to the list or changes its state."""
+        call_json(
+            self.parts["vm_list"].address,
+            "POST",
+            "/vms",
+            {"address": address, "zone": zone, "role": role, "state": state},
+        )
+
+    def wired_parts(self) -> dict[str, dict[str, Any]]:
+        """Returns the configuration with the addresses of the stand-ins."""
+        parts: dict[str, dict[str, Any]] = json.loads(
+            msgspec.json.encode(self.deployment.parts)
+        )
+        for path, body in parts.items():
+            if path.startswith("pools/"):
+                for upstream in body["upstreams"]:
+                    part = self.placeholder[upstream["address"]]
+                    upstream["address"] = part.address
+        return parts
+
+    def append(self, record: Record) -> int:
+        """Appends a record to the log and returns its offset.
+
+        Raises:
+            FleetError: The log refused it.
+        """
+        body = {"records": [msgspec.to_builtins(record)]}
+        log = self.parts["log"].address
+        code, answer = call_json(log, "POST", "/append", body)
+        if code != 200:
+            raise FleetError(f"the log answered {code} to an append")
+        return int(answer["offsets"][0])
+
+    def publish(self, parts: dict[str, dict[str, Any]], base: int = -1) -> int:
+        """Publishes parts against a base and returns the record's offset."""
+        publication: Publication = make_publication(parts, base=base)
+        return self.append(publication)
+
+    def records(self) -> list[dict[str, Any]]:
+        """Returns all records on the log with their offsets."""
+        kept = self.parts["log"].seen()["records_kept"]
+        return [
+            {**entry["record"], "offset": entry["offset"]} for entry in kept
+        ]
+
+    def node_settings(self) -> list[NodeSettings]:
+        """Returns the settings of all nodes, on free ports."""
+        count = self.options.nodes or self.deployment.nodes
+        zones = self.deployment.zones
+        addresses = [f"{LOOPBACK}:{port}" for port in free_ports(count)]
+        platform = PlatformSettings(
+            **{
+                name: f"http://{self.parts[name].address}"
+                for name in ("log", "vm_list", "rating", "weights")
+            }
+        )
+        return [
+            NodeSettings(
+                name=f"{self.deployment.name}-{index + 1}",
+                address=address,
+                zone=zones[index % len(zones)],
+                region=self.deployment.region,
+                platform=platform,
+                peers=PeerSettings(PEER_KEYS, tuple(addresses[:3])),
+                zone_order=zones_by_distance(zones, index % len(zones)),
+                timings=self.options.timings,
+                log_level="WARNING",
+                seed=self.options.seed * 1_000 + index,
+            )
+            for index, address in enumerate(addresses)
+        ]
+
+    def start_nodes(self) -> None:
+        """Registers and starts all nodes."""
+        for settings in self.node_settings():
+            self.register_vm(settings.address, settings.zone, "entry")
+            self.nodes.append(self.start_node(settings))
+
+    def start_node(self, settings: NodeSettings) -> RunningNode:
+        """Starts one node."""
+        if not self.options.processes:
+            # Loaded on demand: stand-ins alone must work without the node.
+            module = importlib.import_module("amaranthlug.node")
+            node = module.Node.from_settings(settings)
+            node.start()
+            return RunningNode(settings, node=node)
+        folder = pathlib.Path(self.folder.name)
+        path = folder / f"{settings.name}.yaml"
+        path.write_text(yaml.safe_dump(msgspec.to_builtins(settings)))
+        args = ["amaranthlug.node", "--settings", str(path)]
+        child = Child.spawn(settings.name, args, folder)
+        self.children.append(child)
+        return RunningNode(settings, child=child)
+
+    def wait_revision(
+        self, revision: int, limit_s: float = READY_LIMIT_S
+    ) -> float:
+        """Waits until all nodes have a revision and returns the seconds.
+
+        Raises:
+            FleetError: A node ended or lacks the revision at the limit.
+        """
+        started = time.monotonic()
+        waiting = list(self.nodes)
+        while waiting:
+            node = waiting[0]
+            status = node.status()
+            if status is not None and int(status["revision"]) >= revision:
+                waiting.pop(0)
+                continue
+            if node.child is not None and not node.child.running():
+                raise FleetError(
+                    f"{node.settings.name} ended: {node.child.last_lines()}"
+                )
+            if time.monotonic() - started > limit_s:
+                raise FleetError(
+                    f"{node.settings.name} has not reached revision "
+                    f"{revision} within {limit_s:.0f} s; status: {status}"
+                )
+            gevent.sleep(0.05)
+        return time.monotonic() - started
+
+    def stop(self) -> None:
+        """Stops nodes, then stand-ins; only processes started here."""
+        stops = [gevent.spawn(node.stop) for node in self.nodes]
+        gevent.joinall(stops, timeout=DRAIN_LIMIT_S)
+        nodes = [node.child for node in self.nodes if node.child]
+        stop_all(nodes, DRAIN_LIMIT_S)
+        stop_all([child for child in self.children if child not in nodes])
+        for part in self.parts.values():
+            if part.standin is not None:
+                part.standin.stop()
+        self.children.clear()
+        self.nodes.clear()
+        self.folder.cleanup()
+
+    def __enter__(self) -> "Fleet":
+        """Returns the fleet itself."""
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        """Stops everything."""
+        self.stop()
+
+
+def zones_by_distance(zones: tuple[str, ...], index: int) -> tuple[str, ...]:
+    """Returns the other zones, the next one in the list first."""
+    return zones[index + 1 :] + zones[:index]
--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
@@ -0,0 +1,105 @@
+"""Options and running parts of a fleet."""
+
+import dataclasses
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from amaranthlug.state.settings import NodeSettings, Timings
+from amaranthlug_standins.batch import Pace
+from amaranthlug_standins.children import Child
+from amaranthlug_standins.http_json import BROKEN, call_json
+from amaranthlug_standins.log import LogConfig
+from amaranthlug_standins.rating import RatingConfig
+from amaranthlug_standins.standin import LOOPBACK, StandIn
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetOptions:
+    """How a fleet runs.
+
+    Attributes:
+        processes: Real processes, or everything in this one.
+        nodes: Number of nodes; None for that of the deployment.
+        timings: Periods and limits of the nodes.
+        pace: Time model of the engines.
+        checks_fence: Whether the engine with an index checks fences.
+    """
+
+    seed: int = 1
+    processes: bool = True
+    nodes: int | None = None
+    timings: Timings = dataclasses.field(default_factory=Timings)
+    pace: Pace = dataclasses.field(default_factory=Pace)
+    rating: RatingConfig = dataclasses.field(default_factory=RatingConfig)
+    log: LogConfig = dataclasses.field(default_factory=LogConfig)
+    checks_fence: Callable[[int], bool] = lambda index: index % 2 == 0
+
+
+@dataclasses.dataclass
+class Part:
+    """A running stand-in, in this process or in a child."""
+
+    name: str
+    address: str
+    control: str
+    standin: StandIn | None = None
+    child: Child | None = None
+
+    def seen(self) -> dict[str, Any]:
+        """Returns its ground truth."""
+        _, body = call_json(self.control, "GET", "/seen")
+        return dict(body)
+
+    def fault(self, **changes: Any) -> None:
+        """Merges fault switches; none clears all."""
+        call_json(self.control, "POST", "/fault", changes)
+
+    def stop(self) -> None:
+        """Stops it; repeated calls are harmless."""
+        if self.standin is not None:
+            self.standin.stop()
+        if self.child is not None:
+            self.child.kill()
+
+
+@dataclasses.dataclass
+class RunningNode:
+    """A node, in this process or in a child."""
+
+    settings: NodeSettings
+    node: Any = None
+    child: Child | None = None
+
+    @property
+    def address(self) -> str:
+        """Returns `host:port`."""
+        return self.settings.address
+
+    def status(self) -> dict[str, Any] | None:
+        """Returns `/statusz`, None if the node cannot be reached."""
+        try:
+            code, body = call_json(self.address, "GET", "/statusz")
+        except BROKEN:
+            return None
+        return body if code == 200 else None
+
+    def stop(self) -> None:
+        """Asks for a graceful shutdown."""
+        if self.node is not None:
+            self.node.stop()
+        if self.child is not None:
+            self.child.terminate()
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns free loopback ports, all different."""
+    held = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind((LOOPBACK, 0))
+        held.append(sock)
+    ports = [sock.getsockname()[1] for sock in held]
+    for sock in held:
+        sock.close()
+    return ports
--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
@@ -0,0 +1,77 @@
+"""What callers saw, one record for each request, kept as JSON lines."""
+
+import pathlib
+from collections.abc import Iterable
+
+import msgspec
+
+ANSWERED = "answered"
+REFUSED = "refused"
+FAILED = "failed"
+
+
+class Call(msgspec.Struct, kw_only=True):
+    """One request of a caller, with all its attempts.
+
+    Attributes:
+        number: Number within the load; part of the prompt or path.
+        service: Name of the plain service; empty for chat.
+        path: Path of a service call.
+        key: Idempotency key, empty for none.
+        idempotent: The request may run more than once.
+        difficulty: `easy` or `hard`.
+        digest: Digest of the prompt.
+        due_at: Wall-clock time of its scheduled start, in seconds.
+        first_token_s: Seconds to the first token, -1 without one.
+        total_s: Seconds to the end.
+        outcome: `answered`, `refused` or `failed`.
+        code: Refusal code, or the error of a failure.
+        moved: Header `X-Session-Moved`.
+        sent: The request may have left in some attempt.
+    """
+
+    number: int
+    organisation: str
+    kind: str = ""
+    service: str = ""
+    path: str = ""
+    session: str = ""
+    key: str = ""
+    stream: bool = False
+    idempotent: bool = True
+    difficulty: str = "easy"
+    digest: str = ""
+    prompt_words: int = 0
+    answer_words: int = 0
+    node: str = ""
+    due_at: float = 0.0
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    first_token_s: float = -1.0
+    total_s: float = 0.0
+    attempts: int = 0
+    status: int = 0
+    outcome: str = FAILED
+    code: str = ""
+    not_run: bool = False
+    retry_after_s: float | None = None
+    request_id: str = ""
+    version: str = ""
+    cost: int = -1
+    moved: str = ""
+    own: bool = False
+    whole: bool = False
+    good: bool = False
+
+
+def write_history(path: pathlib.Path, calls: Iterable[Call]) -> None:
+    """Writes calls as JSON lines."""
+    with path.open("wb") as output:
+        for call in calls:
+            output.write(msgspec.json.encode(call) + b"\n")
+
+
+def read_history(path: pathlib.Path) -> list[Call]:
+    """Reads calls from JSON lines."""
+    lines = path.read_bytes().splitlines()
+    return [msgspec.json.decode(line, type=Call) for line in lines]
--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/truth.py
@@ -0,0 +1,85 @@
+"""Ground truth of a run: what engines, services and the log hold."""
+
+import collections
+import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgspec
+
+from amaranthlug.state.records import BillEntry
+from amaranthlug_standins.history import Call
+
+
+class EngineRun(msgspec.Struct, kw_only=True):
+    """One run that an engine saw; `first` above 0 continues another."""
+
+    request_id: str
+    version: str
+    digest: str
+    first: int = 0
+    generated: int = 0
+    good: bool = True
+    outcome: str = "complete"
+    started_at: float = 0.0
+    first_at: float = 0.0
+    ended_at: float = 0.0
+
+
+@dataclasses.dataclass
+class Truth:
+    """All runs by prompt digest or path, and bills by request id.
+
+    Attributes:
+        runs: Runs by prompt digest.
+        service_runs: Number of runs by path of the call.
+        bills: Bills by request id, the first on the log for each.
+    """
+
+    runs: dict[str, list[EngineRun]] = dataclasses.field(default_factory=dict)
+    service_runs: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    bills: dict[str, BillEntry] = dataclasses.field(default_factory=dict)
+
+    @classmethod
+    def collect(
+        cls,
+        engines: Iterable[Mapping[str, Any]],
+        services: Iterable[Mapping[str, Any]],
+        records: Iterable[Mapping[str, Any]],
+    ) -> "Truth":
+        """Builds the truth from `/seen` of engines and services and the log."""
+        truth = cls()
+        for engine in engines:
+            for raw in engine["runs"]:
+                run = msgspec.convert(raw, EngineRun)
+                truth.runs.setdefault(run.digest, []).append(run)
+        for runs in truth.runs.values():
+            runs.sort(key=lambda run: run.started_at)
+        for service in services:
+            for raw in service["runs"]:
+                truth.service_runs[raw["path"]] += 1
+        for record in records:
+            if record.get("type") == "bill_chunk":
+                for raw in record["entries"]:
+                    bill = msgspec.convert(raw, BillEntry)
+                    truth.bills.setdefault(bill.request_id, bill)
+        return truth
+
+    def runs_of(self, call: Call) -> list[EngineRun]:
+        """Returns the engine runs of a chat call."""
+        return self.runs.get(call.digest, [])
+
+    def ran(self, call: Call) -> bool:
+        """Tells whether any upstream saw the call."""
+        if call.service:
+            return self.service_runs[call.path] > 0
+        return bool(self.runs_of(call))
+
+    def bills_of(self, call: Call) -> list[BillEntry]:
+        """Returns the bills of a chat call, one for each request id."""
+        ids = {run.request_id for run in self.runs_of(call)}
+        if call.request_id:
+            ids.add(call.request_id)
+        return [self.bills[name] for name in sorted(ids) if name in self.bills]
--- /dev/null
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/experiment.py
@@ -0,0 +1,112 @@
+"""`amaranthlug experiment`: runs experiments of the stand-ins package."""
+
+import dataclasses
+import importlib
+import json
+import sys
+from typing import Any
+
+import click
+from gevent import monkey
+
+MISSING = (
+    "this command needs the package amaranthlug-standins; install it beside "
+    "amaranthlug-ui (`make setup` does so in a checkout)"
+)
+
+
+def load_standins(module: str) -> Any:
+    """Imports a module of the stand-ins package.
+
+    Blocking calls are patched first, because nodes, stand-ins and callers
+    share one process.
+
+    Raises:
+        click.ClickException: The package is not installed.
+    """
+    monkey.patch_all()
+    try:
+        return importlib.import_module(f"amaranthlug_standins.{module}")
+    except ModuleNotFoundError as error:
+        if error.name and error.name.startswith("amaranthlug_standins"):
+            raise click.ClickException(MISSING) from error
+        raise
+
+
+@click.group()
+def experiment() -> None:
+    """Run experiments against stand-ins of the platform."""
+
+
+@experiment.command("list")
+def list_scenarios() -> None:
+    """List the experiments."""
+    for scenario in load_standins("experiments").SCENARIOS.values():
+        click.echo(f"{scenario.name:14} {scenario.summary}")
+
+
+@experiment.command("run")
+@click.argument("name")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="One JSON object last.")
+def run_scenario(name: str, seed: int, as_json: bool) -> None:
+    """Run the experiment NAME; exits with 1 if a promise is broken."""
+    scenarios = load_standins("experiments").SCENARIOS
+    if name not in scenarios:
+        raise click.ClickException(
+            f"there is no experiment {name!r}; use one of "
+            f"{', '.join(scenarios)}"
+        )
+    scenario = scenarios[name]
+    with ProgressBar(scenario.length_s, name) as step:
+        counts = scenario.run(seed, step)
+    if as_json:
+        found = {key: dataclasses.asdict(item) for key, item in counts.items()}
+        click.echo(json.dumps(found))
+    else:
+        show_counts(counts)
+    sys.exit(max(item.exit_code() for item in counts.values()))
+
+
+class ProgressBar:
+    """Bar over seconds of load, on standard error."""
+
+    def __init__(self, length_s: float, label: str):
+        """Creates a bar for a load of a length in seconds."""
+        self.bar = click.progressbar(
+            length=int(length_s * 10), label=label, file=sys.stderr
+        )
+        self.rest = 0.0
+
+    def __enter__(self) -> Any:
+        """Shows the bar and returns the function that moves it."""
+        self.bar.__enter__()
+        return self.step
+
+    def __exit__(self, *error: Any) -> None:
+        """Ends the bar."""
+        self.bar.__exit__(*error)
+
+    def step(self, seconds: float) -> None:
+        """Moves the bar by seconds of load."""
+        steps, self.rest = divmod(self.rest + seconds * 10, 1)
+        self.bar.update(int(steps))
+
+
+def show_counts(counts: Any) -> None:
+    """Prints one line for each count, with a column for each deployment."""
+    names = list(counts)
+    click.echo(" ".join([f"{'':26}", *(f"{name:>14}" for name in names)]))
+    columns = [dataclasses.asdict(item) for item in counts.values()]
+    for field in columns[0]:
+        values = [column[field] for column in columns]
+        if isinstance(values[0], dict):
+            continue
+        shown = ["-" if value is None else str(value) for value in values]
+        line = " ".join([f"{field:26}", *(f"{text:>14}" for text in shown)])
+        click.echo(line)
+    for name, item in counts.items():
+        for field in ("refusals", "notes"):
+            click.echo(f"{name} {field}: {getattr(item, field)}")
+        if item.broken():
+            click.echo(f"{name}: broken promises: {', '.join(item.broken())}")
