Test the request path over real sockets and with the openai client

Cause: fakes alone do not show connection reuse, silence or a caller that leaves.

A server that went silent twice in one stream is not resumed there a third time, because each silence costs the caller the limit between reads.

Conclusion: the openai client works unchanged against a node of fakes.

--- a/packages/amaranthlug/src/amaranthlug/protocol/attempt.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/attempt.py
@@ -59,6 +59,7 @@
         self.stream: EngineStream | None = None
         self.blocks: Iterator[bytes] = iter(())
         self.open_ended = True
+        self.was_silent = False
         chooser.started(request, version)
 
     def open(self, call: EngineCall) -> Result[None, UpstreamError]:
@@ -130,6 +131,17 @@
             UpstreamError(address, reason, f"{address}: {message}")
         )
 
+    def may_reopen(self, reason: str) -> bool:
+        """Tells whether the same server may be asked to resume.
+
+        A lost connection may be resumed as often as tokens came between. A
+        server that went silent is waited for once more only.
+        """
+        if reason == "timeout":
+            first, self.was_silent = not self.was_silent, True
+            return first
+        return reason == "cut"
+
     def reopen(self, call: EngineCall) -> Result[None, UpstreamError]:
         """Resumes the stream on a new connection to the same server."""
         self.drop()
--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -207,7 +207,7 @@
         if step.time_left() <= 0:
             self.note_failure(step, attempt, error)
             return Err(self.failure(step))
-        if error.reason in ("cut", "timeout"):
+        if attempt.may_reopen(error.reason):
             reopened = attempt.reopen(self.call(step, resume=True))
             if isinstance(reopened, Ok):
                 self.metrics.incr("retried.resume")
--- a/test/_fakes.py
+++ b/test/_fakes.py
@@ -297,15 +297,15 @@
 class Bench:
     """A dispatcher among fakes."""
 
-    def __init__(self, *scripts, steps=(), bound=10):
-        self.catalog = FakeCatalog()
+    def __init__(self, *scripts, steps=(), bound=10, engine=None, catalog=None):
+        self.catalog = FakeCatalog(catalog)
         self.chooser = FakeChooser(*steps)
         self.servers = FakeServers(self.catalog)
         self.pins = FakePins()
         self.runs = FakeRuns()
         self.biller = FakeBiller()
         self.limits = FakeLimits()
-        self.engine = FakeEngine(*scripts)
+        self.engine = engine or FakeEngine(*scripts)
         self.metrics = StatsdMetrics()
         self.pace = Pace()
         self.budget = RetryBudget(seed=1)
--- /dev/null
+++ b/test/_node.py
@@ -0,0 +1,71 @@
+"""A node among fakes that serves on a real socket."""
+
+from _fakes import Bench, sample_catalog
+from _stub_engine import StubEngine
+
+from amaranthlug.coordination.peers import PeerHandlers
+from amaranthlug.protocol.service_calls import RandomPicker, ServiceCalls
+from amaranthlug.transport.app import NodeView, create_app
+from amaranthlug.transport.engine_client import HttpEngine
+from amaranthlug.transport.server import NodeServer
+from amaranthlug.transport.service_client import HttpPlainService
+
+
+class FakeEntries:
+    """Two entry addresses."""
+
+    def entries(self, zone):
+        return [("10.0.0.1:80", zone or "sala-a"), ("10.0.0.2:80", "sala-b")]
+
+
+class FakeAuthenticator:
+    """Accepts one header value."""
+
+    def verify(self, header, body):
+        return header == "good"
+
+
+class Node:
+    """Router on a free port in front of stub engines."""
+
+    def __init__(self, engines=2, stall_s=30.0, body_bytes=100_000):
+        self.stubs = [StubEngine() for _ in range(engines)]
+        catalog = sample_catalog([stub.address for stub in self.stubs])
+        self.bench = Bench(engine=HttpEngine(), catalog=catalog)
+        bench = self.bench
+        self.calls = ServiceCalls(
+            bench.catalog,
+            RandomPicker(bench.catalog, "sala-a", lambda address: False, 1),
+            HttpPlainService(),
+            bench.runs,
+            bench.limits,
+            bench.admission,
+            bench.budget,
+            bench.metrics,
+        )
+        self.handlers = PeerHandlers()
+        self.server = NodeServer("127.0.0.1:0", None, stall_s)
+        self.view = NodeView(
+            5.0, lambda: self.server.leaving, lambda: {"revision": 1}, "me"
+        )
+        self.server.application = create_app(
+            bench.dispatcher,
+            self.calls,
+            FakeEntries(),
+            self.handlers,
+            FakeAuthenticator(),
+            bench.metrics,
+            self.view,
+            body_bytes,
+        )
+        self.server.start()
+
+    @property
+    def port(self):
+        return self.server.server_port
+
+    def stop(self):
+        """Closes all listeners."""
+        self.server.stop(timeout=0)
+        for stub in self.stubs:
+            stub.server.stop(timeout=0)
--- /dev/null
+++ b/test/_stub_engine.py
@@ -0,0 +1,85 @@
+"""In-process engine over real sockets for tests of the HTTP adapters."""
+
+import json
+
+import gevent
+from _fakes import WORDS, end_events, token_event
+from gevent import pywsgi
+
+
+class CountingServer(pywsgi.WSGIServer):
+    """Counts accepted connections."""
+
+    connections = 0
+
+    def handle(self, sock, address):
+        self.connections += 1
+        super().handle(sock, address)
+
+
+class StubEngine:
+    """Serves chat streams; a test sets how the next ones misbehave.
+
+    Attributes:
+        faults: For each next stream `cut` (closes after 3 tokens), `silent`
+            (sends nothing more after 3 tokens), `mute` (no first byte),
+            `unfinished` (ends the body without the end marker), `busy` (503).
+        words: Tokens of an answer.
+    """
+
+    def __init__(self):
+        self.faults = []
+        self.words = WORDS
+        self.pause_s = 0.0
+        self.chats = []
+        self.resumed = []
+        self.deleted = []
+        self.sent = 0
+        self.server = CountingServer(
+            ("127.0.0.1", 0), self.app, log=None, error_log=None
+        )
+        self.server.start()
+
+    @property
+    def connections(self):
+        return self.server.connections
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self.server.server_port}"
+
+    def app(self, environ, start_response):
+        raw = environ["wsgi.input"].read()
+        path = environ["PATH_INFO"]
+        if environ["REQUEST_METHOD"] == "DELETE":
+            self.deleted.append(path)
+            start_response("200 OK", [])
+            return [b"{}"]
+        if path.endswith("/resume"):
+            self.resumed.append(environ["QUERY_STRING"])
+            start = int(environ["QUERY_STRING"].partition("=")[2])
+        else:
+            body = json.loads(raw)
+            self.chats.append(body)
+            start = body.get("continue_tokens", 0)
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "busy":
+            start_response("503 Busy", [("Retry-After", "2")])
+            return [b"{}"]
+        if fault == "mute":
+            gevent.sleep(5)
+        start_response("200 OK", [("Content-Type", "text/event-stream")])
+        return self.events(start, fault, environ)
+
+    def events(self, start, fault, environ):
+        for number in range(start, len(self.words)):
+            if number == start + 3 and fault == "cut":
+                raise ConnectionResetError(104, "scripted")
+            if number == start + 3 and fault == "silent":
+                gevent.sleep(5)
+            if number == start + 3 and fault == "unfinished":
+                return
+            yield token_event(self.words[number] + " ")
+            self.sent += 1
+            gevent.sleep(self.pause_s)
+        yield end_events(len(self.words))
--- /dev/null
+++ b/test/test_relay.py
@@ -0,0 +1,62 @@
+"""Guards the meter of relayed blocks."""
+
+import json
+
+import pytest
+from _fakes import WORDS, end_events, token_event
+
+from amaranthlug.protocol.relay import AnswerMeter, closing_events
+
+
+def stream_bytes(words):
+    """Returns the bytes of an answer."""
+    return b"".join(token_event(w) for w in words) + end_events(len(words))
+
+
+@pytest.mark.parametrize("events", [1, 2, 3, 100])
+def test_counts_do_not_depend_on_how_blocks_are_cut(events):
+    """Tokens counted twice or lost, so that a resumed stream is wrong."""
+    words = [*WORDS, '"content":', "data: [DONE]\n\n", '"usage"', "\n\n", "é"]
+    parts = [p + b"\n\n" for p in stream_bytes(words).split(b"\n\n")[:-1]]
+    meter = AnswerMeter()
+    out = b""
+    for start in range(0, len(parts), events):
+        out += meter.feed(b"".join(parts[start : start + events]))
+    assert meter.ended
+    assert (meter.tokens, meter.text) == (len(words), "".join(words))
+    assert meter.usage["completion_tokens"] == len(words)
+    assert out == b"".join(token_event(w) for w in words)
+
+
+def test_long_answers_are_folded():
+    """Memory that grows with the raw events of each open stream."""
+    meter = AnswerMeter()
+    for _ in range(5_000):
+        meter.feed(token_event("palavra "))
+    assert meter.raw_bytes < 20_000
+    assert meter.tokens == 5_000
+
+
+def test_error_event_is_not_passed_on():
+    """An engine's internal error shown to a caller as an answer."""
+    meter = AnswerMeter()
+    assert meter.feed(b'data: {"error": {"message": "gpu"}}\n\n') == b""
+    assert meter.error == {"message": "gpu"}
+
+
+def test_usage_on_every_chunk_keeps_all_tokens():
+    """A token lost because its event also carries usage."""
+    meter = AnswerMeter()
+    out = b""
+    for number, word in enumerate(WORDS):
+        usage = {"completion_tokens": number + 1}
+        out += meter.feed(token_event(word, usage=usage))
+    out += meter.feed(b"data: [DONE]\n\n")
+    answer = {"usage": {}, "amaranthlug": {}}
+    out += closing_events(answer, meter.last_event)
+    contents = [
+        json.loads(part[6:])["choices"][0]["delta"]["content"]
+        for part in out.split(b"\n\n")
+        if part.strip() and b"[DONE]" not in part
+    ]
+    assert contents == WORDS
--- /dev/null
+++ b/test/test_server.py
@@ -0,0 +1,212 @@
+"""Guards the node's endpoints over real sockets."""
+
+import json
+import socket as plain_socket
+
+import gevent
+import openai
+import pytest
+from _fakes import KEY, WORDS, wait_for, words_of
+from _node import Node
+from gevent import socket
+from geventhttpclient import HTTPClient
+
+from amaranthlug.protocol.refusals import refuse
+from amaranthlug.state.refusal import RefusalCode
+
+WHOLE = "".join(word + " " for word in WORDS)
+CALLER = {"Authorization": f"Bearer {KEY}", "X-Request-Kind": "describe"}
+
+
+@pytest.fixture
+def node():
+    """Returns a running node."""
+    node = Node()
+    yield node
+    node.stop()
+
+
+def ask(node, stream=False, headers=CALLER, method="POST", path=None, **body):
+    """Sends a request; returns status, headers and body."""
+    body = {
+        "model": "auto",
+        "messages": [{"role": "user", "content": "Olá"}],
+        "stream": stream,
+        **body,
+    }
+    client = HTTPClient("127.0.0.1", node.port, network_timeout=10)
+    raw = json.dumps(body) if method == "POST" else ""
+    target = path or "/v1/chat/completions"
+    response = client.request(method, target, raw, headers)
+    return response.status_code, response, response.read()
+
+
+def open_stream(node, **body):
+    """Sends a streamed request on a socket of its own."""
+    raw = json.dumps(
+        {
+            "model": "auto",
+            "messages": [{"role": "user", "content": "Olá"}],
+            "stream": True,
+            **body,
+        }
+    )
+    sock = socket.create_connection(("127.0.0.1", node.port), timeout=10)
+    head = "".join(f"{name}: {value}\r\n" for name, value in CALLER.items())
+    sock.sendall(
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n{head}"
+        f"Content-Length: {len(raw)}\r\n\r\n{raw}".encode()
+    )
+    return sock
+
+
+def test_whole_and_streamed_answers(node):
+    """An answer that differs between the socket and the dispatcher."""
+    status, response, raw = ask(node)
+    assert status == 200
+    assert json.loads(raw)["choices"][0]["message"]["content"] == WHOLE
+    assert response["X-Cost"] == "21"
+    status, response, raw = ask(node, stream=True)
+    events = [e[6:] for e in raw.decode().split("\n\n") if e.strip()]
+    assert words_of(events) == WHOLE
+    assert events[-1] == "[DONE]"
+    assert response["X-Version"] == "1"
+    node.bench.check_settled()
+
+
+def test_refusals_have_their_shape(node):
+    """A refusal that callers cannot tell from a broken server."""
+    status, _, raw = ask(node, headers={})
+    assert (status, json.loads(raw)["error"]["code"]) == (401, "missing_key")
+    status, _, raw = ask(node, user="x" * 200_000)
+    assert (status, json.loads(raw)["error"]["code"]) == (413, "body_too_large")
+    status, _, raw = ask(node, path="/nowhere")
+    assert (status, json.loads(raw)["error"]["not_run"]) == (404, True)
+    node.bench.limits.refusal = refuse(
+        RefusalCode.LIMIT_EXCEEDED, "limit", "wait", retry_after_s=0.4
+    )
+    status, response, _ = ask(node)
+    assert (status, response["Retry-After"]) == (429, "1")
+
+
+def test_operators_and_entry(node):
+    """An endpoint that is missing or has another shape."""
+    status, _, raw = ask(node, method="GET", path="/v1/entry?zone=sala-b")
+    assert json.loads(raw)["entries"][0]["zone"] == "sala-b"
+    assert ask(node, method="GET", path="/healthz")[0] == 200
+    ask(node, headers={})
+    metrics = json.loads(ask(node, method="GET", path="/metricsz")[2])
+    assert metrics["counters"]["refused.missing_key"] == 1
+    status = json.loads(ask(node, method="GET", path="/statusz")[2])
+    assert status == {"revision": 1}
+    node.server.leaving = True
+    assert ask(node, method="GET", path="/healthz")[0] == 503
+
+
+def test_peer_messages_need_authentication(node):
+    """A message of a stranger, or of another incarnation, that is obeyed."""
+    node.handlers.register("echo", lambda message: message)
+    path, good = "/peer/echo", {"X-Peer-Auth": "good"}
+    assert ask(node, path=path)[0] == 401
+    assert ask(node, path="/peer/none", headers=good)[0] == 404
+    assert ask(node, path=path, headers=good, to="other")[0] == 410
+    status, _, raw = ask(node, path=path, headers=good, to="me")
+    assert (status, json.loads(raw)["to"]) == (200, "me")
+
+
+def test_silent_upstream_is_replaced(node):
+    """A caller that waits for a connection that went silent for good."""
+    node.bench.pace.observe(next(iter(node.bench.catalog.now.versions)), 0, 0)
+    node.stubs[0].faults = ["silent", "silent"]
+    _, _, raw = ask(node, stream=True)
+    events = [e[6:] for e in raw.decode().split("\n\n") if e.strip()]
+    assert words_of(events) == WHOLE
+    assert events[-1] == "[DONE]"
+    # A second silence is not waited for at the same server again.
+    assert node.stubs[0].resumed == ["after=3"]
+    assert node.stubs[1].chats[0]["continue_tokens"] == 6
+    node.bench.check_settled()
+
+
+def test_caller_that_leaves_stops_the_engine(node):
+    """Tokens generated and sent for a caller that is gone."""
+    stub = node.stubs[0]
+    stub.words, stub.pause_s = ["palavra"] * 2_000, 0.002
+    sock = open_stream(node)
+    sock.recv(1_000)
+    sock.close()
+    wait_for(lambda: stub.deleted)
+    (bill,) = node.bench.biller.bills
+    assert bill.outcome == "cancelled"
+    assert 0 < bill.output_tokens < 500
+    node.bench.check_settled()
+
+
+def test_slow_reader_is_bounded():
+    """Memory that a caller who does not read fills without end."""
+    node = Node(stall_s=0.3)
+    stub = node.stubs[0]
+    stub.words = ["p" * 1_000] * 30_000
+    sock = open_stream(node)
+    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, 4_096)
+    wait_for(lambda: node.bench.biller.bills)
+    assert node.bench.biller.bills[0].outcome == "cancelled"
+    # Kernel buffers of three sockets hold a few MB; 30 MB were asked for.
+    assert stub.sent < 20_000
+    node.bench.check_settled()
+    sock.close()
+    node.stop()
+
+
+def test_shutdown_cuts_no_request(node):
+    """A request that is cut because its node stops."""
+    node.stubs[0].pause_s = 0.05
+    running = [gevent.spawn(ask, node, True) for _ in range(3)]
+    wait_for(lambda: node.server.running == 3)
+    stopped = gevent.spawn(node.server.drain)
+    gevent.sleep(0.05)
+    late = gevent.spawn(ask, node, True)
+    gevent.joinall([*running, late], timeout=5, raise_error=True)
+    for job in [*running, late]:
+        assert job.value[2].endswith(b"data: [DONE]\n\n")
+    stopped.join(timeout=5)
+    assert stopped.successful()
+    node.bench.check_settled()
+
+
+def use_openai(port):
+    """Uses the official client as its callers do."""
+    client = openai.OpenAI(
+        api_key=KEY,
+        base_url=f"http://127.0.0.1:{port}/v1",
+        default_headers={"X-Request-Kind": "describe"},
+        max_retries=0,
+    )
+    messages = [{"role": "user", "content": "Olá"}]
+    whole = client.chat.completions.create(model="auto", messages=messages)
+    stream = client.chat.completions.create(
+        model="auto",
+        messages=messages,
+        stream=True,
+        stream_options={"include_usage": True},
+    )
+    chunks = list(stream)
+    try:
+        client.chat.completions.create(model="auto", messages=[])
+        refused = ""
+    except openai.BadRequestError as error:
+        refused = error.body["code"]
+    return whole, chunks, refused
+
+
+def test_official_client_works_unchanged(node):
+    """A deviation from the OpenAI shape that its client rejects."""
+    job = gevent.get_hub().threadpool.spawn(use_openai, node.port)
+    whole, chunks, refused = job.get(timeout=20)
+    assert whole.choices[0].message.content == WHOLE
+    assert whole.usage.completion_tokens == 8
+    texts = [c.delta.content or "" for chunk in chunks for c in chunk.choices]
+    assert "".join(texts) == WHOLE
+    assert chunks[-1].usage.completion_tokens == 8
+    assert chunks[-1].amaranthlug["cost"] == 21
+    assert refused == "bad_request"
