Send one space after each word in the stand-in engine's stream

Cause: the stream put two spaces between words, while section 4 of the design says that the content of a token is a word and a space. A test that compares a relayed answer with answer_words failed on it.

Change: drop the second space.

Conclusion: streamed and whole answers of the stand-in now agree.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/engine_events.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/engine_events.py
@@ -53,7 +53,7 @@
         """Returns the events of tokens `start` up to `end`."""
         head, tail = self.token_head, TOKEN_TAIL
         return "".join(
-            [f"{head}{word} {tail}" for word in self.run.words[start:end]]
+            [f"{head}{word}{tail}" for word in self.run.words[start:end]]
         )
 
     def end_events(self) -> bytes:
