--- a/packages/amaranthlug/src/amaranthlug/protocol/chat.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/chat.py
@@ -182,15 +182,25 @@
     return Ok(min(milliseconds, MAX_DEADLINE_MS) / 1_000)
 
 
-def prompt_text(chat: ChatBody) -> str:
-    """Returns the text of all messages, one line for each."""
-    lines = []
-    for message in chat.messages:
-        if isinstance(message.content, str):
-            lines.append(message.content)
-        else:
-            lines.append("".join(part.text for part in message.content))
-    return "\n".join(lines)
+def text_of(message: Message) -> str:
+    """Returns the text of a message."""
+    if isinstance(message.content, str):
+        return message.content
+    return " ".join(part.text for part in message.content)
+
+
+def last_prompt(chat: ChatBody) -> str:
+    """Returns the last user message, which an answer is rated against."""
+    for message in reversed(chat.messages):
+        if message.role == "user":
+            return text_of(message)
+    return ""
+
+
+def estimated_tokens(chat: ChatBody) -> int:
+    """Returns the estimated tokens of all messages."""
+    size = sum(len(text_of(message).encode()) for message in chat.messages)
+    return max(1, size // BYTES_PER_TOKEN)
 
 
 def body_digest(organisation: str, body: dict[str, Any]) -> str:
@@ -245,7 +255,6 @@
     checked = check_headers(headers)
     if isinstance(checked, Err):
         return checked
-    prompt = prompt_text(chat)
     return Ok(
         RoutedRequest(
             request_id=request_id_of(
@@ -257,9 +266,9 @@
             body=body,
             stream=bool(chat.stream),
             deadline=time.monotonic() + time_left.ok_value,
-            prompt_tokens=max(1, len(prompt.encode()) // BYTES_PER_TOKEN),
+            prompt_tokens=estimated_tokens(chat),
             digest=body_digest(organisation.name, body),
-            prompt=prompt,
+            prompt=last_prompt(chat),
             session_id=headers.session_id,
             idempotency_key=headers.idempotency_key,
         )
--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -174,6 +174,7 @@
             between if resume else first,
             between,
             step.meter.tokens if resume else None,
+            request.organisation.name,
         )
 
     def note_failure(
@@ -189,8 +190,7 @@
         if error.reason == "timeout":
             attempt.cancel()
         attempt.drop()
-        outcome = "empty" if error.reason == "empty" else "error"
-        attempt.end(outcome, "", failed=True)
+        attempt.end(outcome_of(error), "", failed=True)
 
     def may_retry(self, step: StepRun, error: UpstreamError) -> bool:
         """Tells whether a failed step may be sent again."""
@@ -242,6 +242,17 @@
         )
 
 
+def outcome_of(error: UpstreamError) -> str:
+    """Returns the outcome that is counted for the version.
+
+    A server that was not reached or declined says nothing about the version,
+    which must not be withdrawn for it.
+    """
+    if error.not_received or error.reason == "draining":
+        return "unreached"
+    return "empty" if error.reason == "empty" else "error"
+
+
 def engine_body(
     request: RoutedRequest, version: VersionId, meter: AnswerMeter
 ) -> dict[str, Any]:
--- a/packages/amaranthlug/src/amaranthlug/protocol/upstream.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/upstream.py
@@ -38,6 +38,7 @@
         between_s: Limit between two reads, in seconds.
         resume_after: Tokens received of a stream that this engine still runs;
             `open` then resumes it instead of starting one.
+        organisation: Name sent in the header `X-Organisation`.
     """
 
     request_id: str
@@ -45,6 +46,7 @@
     first_byte_s: float
     between_s: float
     resume_after: int | None = None
+    organisation: str = ""
 
 
 class EngineStream(Protocol):
--- a/packages/amaranthlug/src/amaranthlug/transport/app.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/app.py
@@ -9,7 +9,6 @@
 import msgspec
 from result import Err
 
-from amaranthlug.coordination.peers import PeerHandlers
 from amaranthlug.protocol.chat import CallerHeaders, too_large
 from amaranthlug.protocol.dispatch import Dispatcher, WholeAnswer
 from amaranthlug.protocol.service_calls import ServiceCalls
@@ -23,11 +22,11 @@
 """Bound of a message from a peer; a page of log records is the largest."""
 
 
-class PeerAuthenticator(Protocol):
-    """Checks who sent a peer message."""
+class PeerMessages(Protocol):
+    """Authenticates and handles peer messages."""
 
-    def verify(self, header: str, body: bytes) -> bool:
-        """Tells whether the header `X-Peer-Auth` belongs to the body."""
+    def receive(self, name: str, auth: str, body: bytes) -> tuple[int, bytes]:
+        """Returns the HTTP status and JSON body of the reply."""
         ...
 
 
@@ -39,13 +38,11 @@
         entry_ttl_s: Seconds for which callers may cache entry addresses.
         leaving: Tells whether the node is shutting down.
         status: Returns the content of /statusz.
-        incarnation: Messages meant for another one get 410.
     """
 
     entry_ttl_s: float
     leaving: Callable[[], bool]
     status: Callable[[], dict[str, Any]]
-    incarnation: str
 
 
 def send_json(resp: falcon.Response, message: Any, status: int = 200) -> None:
@@ -173,39 +170,22 @@
 class PeerResource:
     """Messages of peers."""
 
-    def __init__(
-        self,
-        handlers: PeerHandlers,
-        authenticator: PeerAuthenticator,
-        incarnation: str,
-    ):
+    def __init__(self, peers: PeerMessages):
         """Creates the resource."""
-        self.handlers = handlers
-        self.authenticator = authenticator
-        self.incarnation = incarnation
+        self.peers = peers
 
     def on_post(
         self, req: falcon.Request, resp: falcon.Response, name: str
     ) -> None:
-        """Passes an authentic message to its handler."""
+        """Passes a message to the part that authenticates it."""
         raw = read_body(req, PEER_BODY_BYTES)
-        header = req.get_header("X-Peer-Auth") or ""
-        if raw is None or not self.authenticator.verify(header, raw):
-            send_json(resp, {"error": "not_authenticated"}, 401)
-            return
-        handler = self.handlers.handlers.get(name)
-        if handler is None:
-            send_json(resp, {"error": "unknown_message"}, 404)
-            return
-        try:
-            message = msgspec.json.decode(raw, type=dict[str, Any])
-        except msgspec.MsgspecError:
-            send_json(resp, {"error": "malformed_message"}, 400)
-            return
-        if message.get("to") not in (None, "", self.incarnation):
-            send_json(resp, {"error": "other_incarnation"}, 410)
+        if raw is None:
+            resp.set_header("Connection", "close")
+            send_json(resp, {"error": "body_too_large"}, 413)
             return
-        send_json(resp, handler(message))
+        auth = req.get_header("X-Peer-Auth") or ""
+        resp.status, resp.data = self.peers.receive(name, auth, raw)
+        resp.content_type = "application/json"
 
 
 class OperatorResource:
@@ -247,8 +227,7 @@
     dispatcher: Dispatcher,
     calls: ServiceCalls,
     entries: EntryView,
-    handlers: PeerHandlers,
-    authenticator: PeerAuthenticator,
+    peers: PeerMessages,
     metrics: StatsdMetrics,
     node: NodeView,
     body_bytes: int,
@@ -263,8 +242,7 @@
     app.add_route("/healthz", operator, suffix="health")
     app.add_route("/metricsz", operator, suffix="metrics")
     app.add_route("/statusz", operator, suffix="status")
-    peer = PeerResource(handlers, authenticator, node.incarnation)
-    app.add_route("/peer/{name}", peer)
+    app.add_route("/peer/{name}", PeerResource(peers))
     sink = ServiceSink(calls, body_bytes)
     app.add_sink(sink, r"/v1/services/(?P<name>[^/]+)(?P<path>/.*)?$")
     return app
--- a/packages/amaranthlug/src/amaranthlug/transport/engine_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/engine_client.py
@@ -149,7 +149,7 @@
             "POST",
             target,
             msgspec.json.encode(body),
-            JSON_HEADERS,
+            {**JSON_HEADERS, "X-Organisation": call.organisation},
             call.first_byte_s,
         )
         if isinstance(sent, Err):
--- a/test/_stub_engine.py
+++ b/test/_stub_engine.py
@@ -40,6 +40,9 @@
         )
         self.server.start()
 
+    def stop(self):
+        self.server.stop(timeout=0)
+
     @property
     def connections(self):
         return self.server.connections
