--- a/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
@@ -1,6 +1,7 @@
 """Finds versions and servers that turn out bad, by pooled evidence."""
 
 import dataclasses
+import math
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
@@ -33,8 +34,6 @@
 """Log ratio of all servers but the worst above which the fault lies with the
 version: two bad ratings, as a single one also happens to a good version."""
 
-REST_IS_GOOD = 0.0
-
 PROVEN_RATED = 30
 """Ratings after which a version outside a roll-out counts as proven."""
 
@@ -53,11 +52,22 @@
 
 @dataclasses.dataclass
 class Baseline:
-    """Counters when the test of a version last restarted."""
+    """Counters when the test of a version last restarted.
+
+    Attributes:
+        cells: By kind and difficulty.
+        reference: Share of bad outcomes before that.
+        servers: By server, at the same time as `cells`.
+        own: By server, when the server's own test last restarted.
+        ejected: Servers whose outcomes do not speak against the version.
+        total: Over all cells.
+    """
 
     cells: dict[Cell, Tally] = dataclasses.field(default_factory=dict)
     reference: dict[Cell, float] = dataclasses.field(default_factory=dict)
     servers: dict[str, Tally] = dataclasses.field(default_factory=dict)
+    own: dict[str, Tally] = dataclasses.field(default_factory=dict)
+    ejected: set[str] = dataclasses.field(default_factory=set)
     total: Tally = dataclasses.field(default_factory=Tally)
 
 
@@ -66,16 +76,16 @@
     """Result of one test.
 
     Attributes:
-        value: Log ratio over all servers.
+        value: Log ratio over all servers that are not ejected.
         rest: Log ratio without the server that looks worst.
-        server: That server; empty when only one has run the version.
-        server_value: Its own log ratio.
+        alone: Only one server has run the version.
+        limit: Average acceptable share of bad outcomes.
     """
 
     value: float
     rest: float
-    server: str
-    server_value: float
+    alone: bool
+    limit: float
 
 
 def outcomes(tally: Tally, base: Tally, failures: bool) -> tuple[int, int]:
@@ -105,8 +115,8 @@
             evidence: Pooled counters.
             rollouts: Stages of roll-outs.
             withdraw: Takes a version out of service everywhere.
-            eject: Keeps a version off one server (address, version, reason);
-                called again each period while the evidence stands.
+            eject: Keeps a version off one server (address, version, reason)
+                for some minutes; its test then starts anew.
             metrics: Counters.
             epoch: Number of readmissions of a version.
         """
@@ -161,6 +171,7 @@
         highest = 0.0
         for failures in (False, True):
             found = self._find(label, rollout, base, failures)
+            self._check_servers(version, base, found, failures, limit)
             highest = max(highest, found.value / limit)
             if found.value > limit:
                 word = "failures" if failures else "ratings"
@@ -171,14 +182,36 @@
 
     def _act(self, version: VersionId, found: Finding, word: str) -> None:
         evidence = f"{word}: log ratio {found.value:.1f}"
-        if not found.server and self._server_fails_elsewhere(version):
+        if found.alone and self._server_fails_elsewhere(version):
             return
-        if not found.server or found.rest > REST_IS_BAD:
+        if found.alone or found.rest > REST_IS_BAD:
             self.metrics.incr("policy.withdrawn")
             self.withdraw(version, f"bad {evidence}")
+
+    def _check_servers(
+        self,
+        version: VersionId,
+        base: Baseline,
+        found: Finding,
+        failures: bool,
+        limit: float,
+    ) -> None:
+        """Ejects servers that are bad while the others are good.
+
+        The limit grows with the number of servers, because each of them is
+        one more chance of a false alarm.
+        """
+        servers = self.evidence.by_server(self.label(version))
+        if found.alone or found.rest > REST_IS_BAD:
             return
-        self.metrics.incr("policy.server_ejected")
-        self.eject(found.server, version, f"bad server by {evidence}")
+        for address, tally in servers.items():
+            known = base.own.get(address, Tally())
+            good, bad = outcomes(tally, known, failures)
+            if ratio(good, bad, found.limit) > limit + math.log(len(servers)):
+                self.metrics.incr("policy.server_ejected")
+                base.ejected.add(address)
+                base.own[address] = dataclasses.replace(tally)
+                self.eject(address, version, "bad server by its outcomes")
 
     def _server_fails_elsewhere(self, version: VersionId) -> bool:
         """Ejects the only server that ran a version if others fail there."""
@@ -216,8 +249,7 @@
             limit = self._add_ratings(test, label, rollout, base)
         servers = self.evidence.by_server(label)
         if len(servers) < 2:
-            value = test.value()
-            return Finding(value, value, "", value)
+            return Finding(test.value(), test.value(), True, limit)
         return self._leave_out(test, servers, base, limit, failures)
 
     def _add_ratings(
@@ -271,17 +303,18 @@
         limit: float,
         failures: bool,
     ) -> Finding:
-        worst, worst_value, counts = "", float("-inf"), (0, 0)
+        worst, worst_value = (0, 0), float("-inf")
         for address, tally in servers.items():
             known = base.servers.get(address, Tally())
             good, bad = outcomes(tally, known, failures)
-            value = ratio(max(0, good), max(0, bad), limit)
-            if value > worst_value:
-                worst, worst_value, counts = address, value, (good, bad)
-        value = test.value()
+            value = ratio(good, bad, limit)
+            if address in base.ejected:
+                test.add(good, bad, limit, sign=-1)
+            elif value > worst_value:
+                worst, worst_value = (good, bad), value
         rest = RatioTest(list(test.logs))
-        rest.add(max(0, counts[0]), max(0, counts[1]), limit, sign=-1)
-        return Finding(value, rest.value(), worst, worst_value)
+        rest.add(*worst, limit, sign=-1)
+        return Finding(test.value(), rest.value(), False, limit)
 
     def _restart(self, label: str, base: Baseline) -> None:
         """Restarts the test of a proven version when it speaks for it."""
@@ -299,7 +332,18 @@
                 base.reference[cell] = 1 - bounds.lower
         base.reference[Cell(label)] = self._own_share(label, failures=True)
         base.total = dataclasses.replace(total)
+        servers = self.evidence.by_server(label)
         base.servers = {
-            address: dataclasses.replace(tally)
-            for address, tally in self.evidence.by_server(label).items()
+            name: dataclasses.replace(sums) for name, sums in servers.items()
         }
+        base.ejected.clear()
+        for address, tally in list(servers.items()):
+            if self._speaks_for(tally, base.own.get(address, Tally())):
+                base.own[address] = dataclasses.replace(tally)
+
+    def _speaks_for(self, tally: Tally, known: Tally) -> bool:
+        """Tells whether a server's outcomes since `known` are all right."""
+        return all(
+            ratio(*outcomes(tally, known, failures), acceptable(0.0)) <= 0
+            for failures in (False, True)
+        )
--- a/packages/amaranthlug/src/amaranthlug/protocol/server_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/server_choice.py
@@ -49,8 +49,9 @@
 """Servers of a pool that one node uses; bounds the time of a choice and the
 polls. Different nodes use different ones, chosen by rendezvous hashing."""
 
-KEPT_OFF_S = 60.0
-"""Time for which a version is kept off a server that spoils it."""
+KEPT_OFF_S = 600.0
+"""Time for which a version is kept off a server that spoils it, in seconds;
+then the server gets some work again and its test starts anew."""
 
 JITTER = 0.2
 
