--- a/packages/amaranthlug/src/amaranthlug/coordination/rollout_driver.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/rollout_driver.py
@@ -78,8 +78,8 @@
 class WeightStore(Protocol):
     """The rate-limited store of weights."""
 
-    def prepare(self, version: str) -> Result[None, PlatformError]:
-        """Makes weights ready to be fetched by engines."""
+    def available(self, version: str) -> Result[None, PlatformError]:
+        """Tells that the weights of `model@version` can be fetched."""
         ...
 
 
@@ -258,7 +258,7 @@
         if not some:
             self.metrics.incr("rollout.waits_for_servers")
             return False
-        if isinstance(self.weights.prepare(str(new)), Err):
+        if isinstance(self.weights.available(str(new)), Err):
             self.metrics.incr("rollout.weights_failed")
             return False
         jobs = [gevent.spawn(self._order, s, new) for s in some]
--- a/packages/amaranthlug/src/amaranthlug/protocol/load_poller.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/load_poller.py
@@ -54,6 +54,7 @@
         self.busy: set[str] = set()
         self.next = 0
         self.boots: dict[str, str] = {}
+        chooser.suspects.confirm = self.confirm_later
 
     def start(self, timers: TimerService) -> None:
         """Polls periodically."""
@@ -105,6 +106,10 @@
             return str(answer.ok_value.get("boot_id", ""))
         return ""
 
+    def confirm_later(self, address: str, crash: str) -> None:
+        """Checks a crash without holding up the request that saw it."""
+        gevent.spawn(self.confirm_crash, address, crash)
+
     def confirm_crash(self, address: str, crash: str) -> None:
         """Clears the requests of a crash when the server still runs.
 
@@ -114,6 +119,6 @@
         before = self.boots.get(address, "")
         boot = self._boot(address)
         if boot and boot == before:
-            self.chooser.poison.not_crashed(crash)
+            self.chooser.suspects.not_crashed(crash)
         if boot:
             self.boots[address] = boot
--- a/packages/amaranthlug/src/amaranthlug/protocol/server_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/server_choice.py
@@ -14,10 +14,11 @@
     poisoned,
     pools_exhausted,
 )
-from amaranthlug.protocol.poison import PoisonRegister
+from amaranthlug.protocol.poison import poison_digest
 from amaranthlug.protocol.prefix_affinity import PrefixAffinity, prefix_key
 from amaranthlug.protocol.server_state import ServerState
 from amaranthlug.protocol.services import CatalogView, RoutedRequest
+from amaranthlug.protocol.suspects import SuspectRegister
 from amaranthlug.protocol.upstream import EngineLoad
 from amaranthlug.state.catalog import Pool, Upstream, VersionId
 from amaranthlug.state.refusal import Refusal
@@ -71,7 +72,7 @@
         self,
         view: CatalogView,
         members: MemberView,
-        poison: PoisonRegister,
+        suspects: SuspectRegister,
         metrics: Metrics,
         now: Callable[[], float],
         zone: str,
@@ -84,7 +85,7 @@
         Args:
             view: Configuration in force.
             members: Nodes among which new work is divided.
-            poison: Suspected requests.
+            suspects: Suspected requests.
             metrics: Counters.
             now: Monotonic clock.
             zone: Zone of this node.
@@ -94,7 +95,7 @@
         """
         self.view = view
         self.members = members
-        self.poison = poison
+        self.suspects = suspects
         self.metrics = metrics
         self.now = now
         self.zone = zone
@@ -135,7 +136,9 @@
         declared = catalog.versions.get(version)
         return catalog.pools.get(declared.pool) if declared else None
 
-    def _usable(self, server: Upstream, version: VersionId) -> bool:
+    def _usable(
+        self, server: Upstream, version: VersionId, digest: str = ""
+    ) -> bool:
         """Tells whether a server may get work of a version at all."""
         state, now = self.state(server.address), self.now()
         if state.load is not None and state.load.draining:
@@ -146,7 +149,7 @@
             return False
         if now < state.ejected_until or (state.probing and state.in_flight):
             return False
-        if self.poison.reserved(server.address):
+        if self.suspects.reserved(server.address, digest):
             return False
         return state.runs(str(version), now)
 
@@ -166,7 +169,8 @@
         exclude: frozenset[str],
     ) -> Result[Upstream, Refusal]:
         """Picks a server that runs the version and counts it as in flight."""
-        if self.poison.condemned(request.digest):
+        digest = self._suspected_digest(request)
+        if digest and self.suspects.condemned(digest):
             return Err(poisoned(not_run=True))
         pool = self._pool(version)
         if (
@@ -175,32 +179,46 @@
             or self.view.is_withdrawn(version)
         ):
             return Err(no_version(str(version)))
-        server = self._find(request, version, pool, exclude)
-        if server is None:
-            return Err(pools_exhausted([str(version)]))
-        self.state(server.address).in_flight += 1
-        self.poison.begin(request.digest, server.address)
-        return Ok(server)
-
-    def _find(
-        self,
-        request: RoutedRequest,
-        version: VersionId,
-        pool: Pool,
-        exclude: frozenset[str],
-    ) -> Upstream | None:
         now = self.now()
-        suspected = self.poison.suspected(request.digest)
 
         def usable(server: Upstream) -> bool:
             return (
                 server.address not in exclude
                 and self.state(server.address).has_room(now)
-                and self._usable(server, version)
-                and (not suspected or self._idle(server.address))
+                and self._usable(server, version, digest)
             )
 
-        return self._best(request, pool, usable, now)
+        if digest:
+            server = self._alone(pool, usable, digest)
+        else:
+            server = self._best(request, pool, usable, now)
+        if server is None:
+            return Err(pools_exhausted([str(version)]))
+        self.state(server.address).in_flight += 1
+        return Ok(server)
+
+    def _suspected_digest(self, request: RoutedRequest) -> str:
+        """Returns the digest of a suspect, '' for other requests."""
+        if not self.suspects.suspects:
+            return ""
+        digest = poison_digest(request)
+        return digest if self.suspects.suspected(digest) else ""
+
+    def _alone(
+        self, pool: Pool, usable: Callable[[Upstream], bool], digest: str
+    ) -> Upstream | None:
+        """Returns an idle server for a suspect and keeps others off it.
+
+        Without an idle one the least loaded is kept free of new work, so that
+        the suspect finds it idle when it is sent again.
+        """
+        servers = [s for s in self.subset(pool) if usable(s)]
+        if not servers:
+            return None
+        now = self.now()
+        chosen = min(servers, key=lambda s: self.state(s.address).work(now))
+        self.suspects.reserve(chosen.address, digest)
+        return chosen if self._idle(chosen.address) else None
 
     def _idle(self, address: str) -> bool:
         """Tells whether a suspect would harm nobody else on a server."""
@@ -283,32 +301,24 @@
         address: str,
         first_token_s: float,
         failed: bool,
-        digest: str = "",
-        crashed: bool = False,
-    ) -> str:
+    ) -> None:
         """Ends the count of a picked server.
 
         Args:
             address: The server.
             first_token_s: Time to the first token; 0 s if none came.
             failed: The server did not do its part.
-            digest: The request's digest; needed to find poisoned requests.
-            crashed: The connection broke as when the server's process ends.
-
-        Returns:
-            The id of the crash for `PoisonRegister.not_crashed`, or ''.
         """
         state, now = self.state(address), self.now()
         state.in_flight = max(0, state.in_flight - 1)
         if first_token_s:
             self.metrics.timing("server.first_token", first_token_s * 1000)
         if not failed:
-            state.succeed(now)
+            # A pick that was given back without a run proves nothing.
+            if first_token_s:
+                state.succeed(now)
         elif state.fail(now, self._may_eject(address), self._jitter()):
             self.metrics.incr("server.ejected")
-        if not digest:
-            return ""
-        return self.poison.end(digest, address, crashed)
 
     def _jitter(self) -> float:
         return self.random.uniform(1 - JITTER, 1 + JITTER)
--- a/test/test_evidence.py
+++ b/test/test_evidence.py
@@ -123,7 +123,7 @@
     pump.offer(sample("r1"), CELL, "s1", True, True)
     pump.submit()
     service.ratings = [
-        Rating(1, "r1", "log", "m@1", False),
+        Rating(0, "r1", "log", "m@1", False),
         Rating(2, "r1", "log", "m@1", False),
         Rating(3, "foreign", "log", "m@1", False),
     ]
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -121,7 +121,7 @@
         self.versions[address].add(version)
         return Ok(None)
 
-    def prepare(self, version):
+    def available(self, version):
         """Has all weights ready."""
         return Ok(None)
 
@@ -219,13 +219,13 @@
 def test_holder_without_lease_does_nothing_at_each_act():
     """A holder paused between check and act would order with a stale lease."""
     driven = Driven()
-    real = driven.engines.prepare
+    real = driven.engines.available
 
     def expire(version):
         driven.lease.token = None
         return real(version)
 
-    driven.engines.prepare = expire
+    driven.engines.available = expire
     driven.ticks(5)
     assert driven.engines.orders == [] and driven.log.entries == []
 
--- a/test/test_server_choice.py
+++ b/test/test_server_choice.py
@@ -9,8 +9,9 @@
 
 from amaranthlug.protocol import server_choice, server_state
 from amaranthlug.protocol.load_poller import LoadPoller
-from amaranthlug.protocol.poison import PoisonRegister
+from amaranthlug.protocol.poison import poison_digest
 from amaranthlug.protocol.server_choice import LoadServerChooser
+from amaranthlug.protocol.suspects import SuspectRegister
 from amaranthlug.protocol.upstream import EngineLoad, UpstreamError
 from amaranthlug.state.refusal import RefusalCode
 
@@ -41,7 +42,7 @@
         """Creates a chooser that has heard of idle servers."""
         self.policy = policy or Policy(catalog_of({"mid": 1}), nodes)
         self.clock = self.policy.clock
-        self.poison = PoisonRegister(
+        self.suspects = SuspectRegister(
             FakeRumours([] if receivers is None else receivers),
             self.policy.metrics,
             self.clock,
@@ -50,7 +51,7 @@
         self.chooser = LoadServerChooser(
             self.policy.view,
             self.policy.members,
-            self.poison,
+            self.suspects,
             self.policy.metrics,
             self.clock,
             zone,
@@ -192,27 +193,40 @@
     """A poisoned request sent again would take down server after server."""
     receivers = []
     first, second = (Servers(receivers=receivers) for _ in range(2))
-    bad, good = {"digest": "bad"}, {"digest": "good"}
-    for number in range(12):
-        if first.pick(prompt=f"x{number}", **good) == "mid:0":
-            break
-    state = first.chooser.state("mid:0")
-    first.poison.begin("bad", "mid:0")
-    state.in_flight += 1
-    first.chooser.done("mid:0", 0.0, True, "bad", crashed=True)
-    assert second.poison.suspected("bad") and second.poison.suspected("good")
+    bad, good = ({"body": {"messages": [name]}} for name in ("bad", "good"))
+    names = [
+        poison_digest(first.policy.request(**body)) for body in (bad, good)
+    ]
+    for name in names:
+        first.suspects.crashed(name, "mid:0")
+    assert all(map(second.suspects.suspected, names))
     alone = second.pick(**bad)
-    assert first.poison.reserved(alone)
     assert alone not in first.spread(50)
-    second.chooser.done(alone, 0.0, True, "bad", crashed=True)
+    second.suspects.crashed(names[0], alone)
     refusal = first.pick(**bad)
     assert refusal.code == RefusalCode.POISONED_REQUEST and refusal.not_run
+    assert first.suspects.admit(names[0]).err() == refusal
     address = second.pick(**good)
-    second.chooser.done(address, 0.1, False, "good")
-    assert not first.poison.suspected("good")
-    assert first.poison.condemned("bad")
+    second.suspects.completed(second.policy.request(**good))
+    second.suspects.finished(names[1])
+    assert not first.suspects.suspected(names[1])
+    assert not first.suspects.reserved(address)
+    assert first.suspects.condemned(names[0])
     first.clock.time += 601
-    assert not first.poison.suspected("bad")
+    assert not first.suspects.suspected(names[0])
+
+
+def test_suspect_in_a_busy_pool_gets_a_server_that_empties():
+    """A pool that is never idle would refuse an innocent suspect for good."""
+    servers = Servers(receivers=[])
+    servers.report((3, 2, 1, 3))
+    body = {"body": {"messages": ["m"]}}
+    digest = poison_digest(servers.policy.request(**body))
+    servers.suspects.crashed(digest, "mid:0")
+    assert servers.pick(**body).code == RefusalCode.POOL_EXHAUSTED
+    assert servers.spread()["mid:2"] == 0
+    servers.report((3, 2, 0, 3))
+    assert servers.pick(**body) == "mid:2"
 
 
 class FakeEngine:
@@ -244,9 +258,9 @@
     )
     poller.poll_one("mid:0")
     engine.boot = boot
-    crash = servers.chooser.done("mid:0", 0.0, True, "d", crashed=True)
-    poller.confirm_crash("mid:0", crash)
-    assert servers.poison.suspected("d") is suspected
+    servers.suspects.confirm = poller.confirm_crash
+    servers.suspects.crashed("d", "mid:0")
+    assert servers.suspects.suspected("d") is suspected
 
 
 def test_pick_is_fast_in_a_large_pool():
