--- a/packages/amaranthlug/src/amaranthlug/protocol/unproven_quota.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/unproven_quota.py
@@ -2,12 +2,11 @@
 
 from collections import Counter
 
-import xxhash
-
 from amaranthlug.coordination.peers import MemberView
 from amaranthlug.coordination.rating_pump import RatingPump
 from amaranthlug.coordination.withdrawal_watch import WithdrawalWatch
 from amaranthlug.state.catalog import VersionId
+from amaranthlug.state.rendezvous import rendezvous_order
 
 DEFAULT_MAX_UNRATED = 8
 """Bound over all nodes for a version that is not in a roll-out."""
@@ -17,11 +16,6 @@
 a time goes to the version, over all nodes."""
 
 
-def rendezvous(name: str, incarnation: str) -> int:
-    """Returns the rank of a node for a name; the highest comes first."""
-    return xxhash.xxh3_64_intdigest(f"{name}|{incarnation}".encode())
-
-
 class UnprovenQuota:
     """This node's part of the bound that holds over all nodes."""
 
@@ -46,9 +40,7 @@
         mine = self.members.me.incarnation
         if not extra or mine not in live:
             return each if mine in live else 0
-        score = rendezvous(name, mine)
-        before = sum(rendezvous(name, other) > score for other in live)
-        return each + (before < extra)
+        return each + (mine in rendezvous_order(name, live)[:extra])
 
     def may_start(
         self, version: VersionId, name: str, max_unrated: int
