--- a/packages/amaranthlug/src/amaranthlug/protocol/difficulty.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/difficulty.py
@@ -4,7 +4,7 @@
 
 from amaranthlug.protocol.services import RoutedRequest
 
-LONG_PROMPT_TOKENS = 600
+LONG_PROMPT_TOKENS = 100
 """Prompts above it count as hard; short ones are mostly single questions."""
 
 LONG_PROMPT_CHARS = 4_000
@@ -28,7 +28,7 @@
     """
     text = request.prompt[:LONG_PROMPT_CHARS]
     score = 2 if request.prompt_tokens > LONG_PROMPT_TOKENS else 0
-    score += 2 if REASONING.search(text) else 0
+    score += 1 if REASONING.search(text) else 0
     score += 1 if text.count("?") >= 3 else 0
     score += 1 if text.count("\n") >= 20 else 0
     digits = sum(map(text.count, "0123456789"))
