Add billing with two copies and chunks on the log

Cause: a bill in the memory of one node is lost with it, and an append per request would exceed what the log takes. Change: entries are copied to two peers in other zones before the end marker, many to a message; chunks are appended when due; holders append the entries of a gone owner that the log does not show; open entries are billed as cut 60 s after their owner's death. Bounds, flush and a new holder's catch-up included.

--- a/packages/amaranthlug/src/amaranthlug/coordination/slot_claims.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/slot_claims.py
@@ -284,10 +284,14 @@
         keeper = self.keeper
         live = keeper.members.live()
         groups: dict[tuple[str, ...], dict[int, int]] = {}
+        choices: dict[tuple[str, ...], tuple[str, ...]] = {}
         for lease in keeper.fold.owned_by(self.me.incarnation):
             if not self.is_idle(lease.slot):
                 continue
-            wanted = choose_successors(self.me, live, lease.successors)
+            now = lease.successors
+            if now not in choices:
+                choices[now] = choose_successors(self.me, live, now)
+            wanted = choices[now]
             age = keeper.timers.now() - keeper.seen_at[lease.slot]
             if self.is_better(lease, wanted, live) or age >= REFRESH_S:
                 groups.setdefault(wanted, {})[lease.slot] = lease.offset
--- a/test/_fakes_fleet.py
+++ b/test/_fakes_fleet.py
@@ -5,6 +5,8 @@
 import gevent
 from result import Err, Ok
 
+from amaranthlug.coordination.bill_copies import BillCopies
+from amaranthlug.coordination.billing import LogBiller
 from amaranthlug.coordination.exchange import Exchange
 from amaranthlug.coordination.membership import Membership
 from amaranthlug.coordination.peers import (
@@ -233,6 +235,26 @@
             self.handlers,
             lambda organisation, version: str(version) not in self.withdrawn,
         )
+        self.copies = BillCopies(
+            self.membership,
+            self.handlers,
+            self.feed,
+            self.feed,
+            self.timers,
+            self.metrics,
+        )
+        self.biller = LogBiller(
+            self.membership,
+            self.link,
+            self.feed,
+            self.feed,
+            self.copies,
+            self.timers,
+            self.metrics,
+            timings,
+        )
+        self.copies.start()
+        self.biller.start()
         parts = (self.vms, self.membership, self.exchange, self.slots)
         for part in (*parts, self.claims, self.runs, self.pins):
             part.start()
--- /dev/null
+++ b/test/test_billing.py
@@ -0,0 +1,182 @@
+"""Guards billing: each request once, through deaths, cuts and outages."""
+
+import gevent
+import pytest
+from _fakes_fleet import Fleet, settle
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from amaranthlug.state.ledger import Ledger
+from amaranthlug.state.records import BillChunk, BillEntry, LogEntry
+
+
+def bill(request_id, cost=10, outcome="complete"):
+    """Returns an entry."""
+    return BillEntry(
+        request_id=request_id,
+        organisation="ch-5",
+        kind="draft",
+        version="m@1",
+        prompt_tokens=5,
+        output_tokens=7,
+        cost=cost,
+        outcome=outcome,
+    )
+
+
+def ledger(fleet):
+    """Reads the fleet's log as the operators' command does."""
+    reader = Ledger()
+    for offset, record in enumerate(fleet.log.records):
+        reader.apply(LogEntry(offset=offset, record=record))
+    return reader
+
+
+def held(fleet):
+    """Returns the number of copies at all nodes."""
+    return sum(node.copies.count for node in fleet.nodes.values())
+
+
+@pytest.fixture
+def fleet():
+    """Five nodes in three zones."""
+    fleet = Fleet(5)
+    fleet.run(8)
+    return fleet
+
+
+def test_entry_is_copied_to_other_zones_then_logged_once(fleet):
+    """A bill in one memory only is lost with its node."""
+    node = fleet.nodes["n0"]
+    node.biller.open(bill("r", 3, "cut"))
+    fleet.call(node.biller.record, bill("r"))
+    zones = {n.me.zone for n in fleet.nodes.values() if n.copies.count}
+    assert held(fleet) == 2 and zones == {"b", "c"}
+    fleet.run(6)
+    assert ledger(fleet).total().cost == 10
+    assert held(fleet) == 0 and not node.biller.ended
+    assert not node.biller.opened
+
+
+def test_many_entries_share_messages(fleet):
+    """A message per request and copy would cost too much at peak."""
+    node = fleet.nodes["n0"]
+    fleet.sent.clear()
+    for i in range(200):
+        gevent.spawn(node.biller.record, bill(f"r{i}"))
+    fleet.run(1)
+    assert held(fleet) == 400
+    assert fleet.sent["bill_copy"] <= 10
+
+
+@pytest.mark.parametrize("both", [False, True])
+def test_owner_dies_between_copy_and_chunk(fleet, both):
+    """The copies must bill the request, even if one of them dies too."""
+    node = fleet.nodes["n0"]
+    fleet.call(node.biller.record, bill("r"))
+    node.biller.open(bill("open", 3, "cut"))
+    settle()
+    fleet.kill("n0")
+    holders = [a for a, n in fleet.nodes.items() if n.copies.count]
+    if both:
+        fleet.kill(holders[0])
+    fleet.run(40)
+    assert ledger(fleet).is_billed("r")
+    fleet.run(70)
+    totals = ledger(fleet).total()
+    assert (totals.requests, totals.cost, totals.cut) == (2, 13, 1)
+
+
+def test_cut_owner_and_holders_bill_once(fleet):
+    """After a cut both sides may append the same bill."""
+    node = fleet.nodes["n0"]
+    fleet.log.cut.add("n0")
+    fleet.call(node.biller.record, bill("r"))
+    fleet.cut(["n0"], ["n1", "n2", "n3", "n4"])
+    fleet.run(40)
+    assert ledger(fleet).total().requests == 1
+    fleet.cuts.clear()
+    fleet.log.cut.clear()
+    fleet.run(40)
+    assert ledger(fleet).total().requests == 1
+    assert held(fleet) == 0
+
+
+def test_lost_holder_is_replaced_with_all_entries(fleet):
+    """Entries of an outage would lose their copies one death at a time."""
+    node = fleet.nodes["n0"]
+    fleet.log.outage = True
+    fleet.call(node.biller.record, bill("r1"))
+    holders = [a for a, n in fleet.nodes.items() if n.copies.count]
+    fleet.kill(holders[0])
+    fleet.call(node.biller.record, bill("r2"))
+    fleet.run(10)
+    assert held(fleet) == 4
+    fleet.log.outage = False
+    fleet.run(10)
+    assert ledger(fleet).total().requests == 2
+
+
+def test_long_outage_is_bounded_and_then_billed(fleet):
+    """Bills must neither grow without bound nor get lost in an outage."""
+    node = fleet.nodes["n0"]
+    node.biller.bound = 1_000
+    fleet.log.outage = True
+    for i in range(1_000):
+        gevent.spawn(node.biller.record, bill(f"r{i}"))
+    fleet.run(20)
+    assert str(node.biller.may_admit().err_value.code) == "billing_backlog"
+    assert len(node.feed.queue) <= 8
+    fleet.log.outage = False
+    fleet.run(20)
+    assert node.biller.may_admit().is_ok()
+    assert ledger(fleet).total().requests == 1_000
+
+
+def test_flush_at_shutdown_leaves_nothing(fleet):
+    """A graceful exit must not leave bills to the copies."""
+    node = fleet.nodes["n0"]
+    fleet.call(node.biller.record, bill("r"))
+    node.biller.append_chunks()
+    fleet.run(1)
+    assert node.biller.flush(1.0) and ledger(fleet).is_billed("r")
+
+
+def test_request_that_did_not_run_is_not_billed(fleet):
+    """An open entry of a refused request would be billed after a death."""
+    node = fleet.nodes["n0"]
+    node.biller.open(bill("r", 3, "cut"))
+    settle()
+    node.biller.close("r")
+    fleet.run(4)
+    fleet.kill("n0")
+    fleet.run(120)
+    assert ledger(fleet).total().requests == 0
+
+
+def test_lone_node_bills():
+    """With no peer the bill still reaches the log."""
+    fleet = Fleet(1)
+    fleet.run(2)
+    fleet.call(fleet.nodes["n0"].biller.record, bill("r"))
+    fleet.run(5)
+    assert ledger(fleet).is_billed("r")
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(st.lists(st.integers(0, 5), max_size=4), max_size=6))
+def test_ledger_bills_each_request_once(chunks):
+    """Repeated chunks and entries must not be billed twice."""
+    reader = Ledger()
+    for offset, numbers in enumerate(chunks):
+        entries = [bill(str(number), cost=offset + 1) for number in numbers]
+        record = BillChunk(
+            id=str(offset), incarnation="x", sequence=0, entries=entries
+        )
+        reader.apply(LogEntry(offset=offset, record=record))
+    first = {}
+    for offset, numbers in enumerate(chunks):
+        for number in numbers:
+            first.setdefault(number, offset + 1)
+    assert reader.total().cost == sum(first.values())
+    assert reader.total().requests == len(first)
