Assemble a node and its daemon, and open bills at dispatch

Cause: the parts existed without a process that joins them, and a node that died in the middle of a request left no bill for it. Settlement opens a bill when the first step is sent and closes it if nothing ran. A drain ignores messages of peers, which never stop.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
@@ -257,7 +257,7 @@
         folder = pathlib.Path(self.folder.name)
         path = folder / f"{settings.name}.yaml"
         path.write_text(yaml.safe_dump(msgspec.to_builtins(settings)))
-        args = ["amaranthlug.node", "--settings", str(path)]
+        args = ["amaranthlug.daemon", "--settings", str(path)]
         child = Child.spawn(settings.name, args, folder)
         self.children.append(child)
         return RunningNode(settings, child=child)
--- a/packages/amaranthlug-ui/src/amaranthlug_ui/main.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/main.py
@@ -250,3 +250,7 @@
         return found.ok_value
     error: PublishError = found.err_value
     raise click.ClickException(error.message)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/parts_requests.py
@@ -0,0 +1,213 @@
+"""Builds the parts of a node that choose versions and answer requests."""
+
+import dataclasses
+
+from amaranthlug.coordination.evidence_pool import EvidencePool
+from amaranthlug.coordination.rating_pump import RatingPump
+from amaranthlug.coordination.rollout_driver import RolloutDriver
+from amaranthlug.coordination.withdrawal_watch import WithdrawalWatch
+from amaranthlug.parts_fleet import FleetParts
+from amaranthlug.protocol.admission import Admission
+from amaranthlug.protocol.dispatch import Dispatcher
+from amaranthlug.protocol.engine_orders import EngineOrderSender
+from amaranthlug.protocol.load_poller import LoadPoller
+from amaranthlug.protocol.pace import Pace
+from amaranthlug.protocol.retry_budget import RetryBudget
+from amaranthlug.protocol.sender import Sender
+from amaranthlug.protocol.server_choice import LoadServerChooser
+from amaranthlug.protocol.service_calls import RandomPicker, ServiceCalls
+from amaranthlug.protocol.suspects import SuspectRegister
+from amaranthlug.protocol.unproven_quota import UnprovenQuota
+from amaranthlug.protocol.version_choice import CostQualityChooser
+from amaranthlug.state.catalog import VersionId
+from amaranthlug.state.evidence import Evidence
+from amaranthlug.state.rollouts import RolloutFold
+from amaranthlug.state.settings import NodeSettings
+from amaranthlug.transport.engine_client import HttpEngine
+from amaranthlug.transport.platform_clients import (
+    HttpRatingService,
+    HttpWeightStore,
+)
+from amaranthlug.transport.service_client import HttpPlainService
+
+ROLLOUT_SLOT = 64
+"""Slot whose lease the driver of roll-outs holds."""
+
+
+@dataclasses.dataclass
+class RolloutLease:
+    """Implements `DriverLease` by the lease of slot 64."""
+
+    fleet: FleetParts
+
+    def fence(self) -> int | None:
+        """Returns the fencing token, None when the lease is not valid now."""
+        return self.fleet.slots.fence(ROLLOUT_SLOT)
+
+
+@dataclasses.dataclass
+class ChoiceParts:
+    """Evidence, choice of version and server, roll-outs."""
+
+    evidence: Evidence
+    pool: EvidencePool
+    ratings: RatingPump
+    rollouts: RolloutFold
+    watch: WithdrawalWatch
+    suspects: SuspectRegister
+    servers: LoadServerChooser
+    poller: LoadPoller
+    versions: CostQualityChooser
+    driver: RolloutDriver
+
+    @classmethod
+    def from_settings(
+        cls, settings: NodeSettings, fleet: FleetParts, engine: HttpEngine
+    ) -> "ChoiceParts":
+        """Builds all parts; nothing runs before `start`."""
+        now, metrics = fleet.timers.now, fleet.metrics
+        incarnation = fleet.me.incarnation
+        evidence = Evidence(incarnation)
+        pool = EvidencePool(evidence, fleet.members)
+        rating_service = HttpRatingService(settings.platform.rating)
+        ratings = RatingPump(rating_service, pool, metrics, now)
+        rollouts = RolloutFold()
+        fleet.follower.subscribe(rollouts.apply)
+        suspects = SuspectRegister(fleet.rumours, metrics, now, incarnation)
+        servers = LoadServerChooser(
+            fleet.config,
+            fleet.members,
+            suspects,
+            metrics,
+            now,
+            settings.zone,
+            settings.zone_order,
+            lambda address: address in fleet.members.departing_upstreams(),
+            settings.seed,
+        )
+
+        def epoch(version: VersionId) -> int:
+            return fleet.config.withdrawals.epoch(str(version))
+
+        watch = WithdrawalWatch(
+            fleet.config,
+            evidence,
+            rollouts,
+            fleet.config.withdraw,
+            servers.keep_off,
+            metrics,
+            epoch,
+        )
+        versions = CostQualityChooser(
+            fleet.config,
+            evidence,
+            ratings,
+            rollouts,
+            watch,
+            UnprovenQuota(fleet.members, ratings, watch),
+            servers,
+            metrics,
+            now,
+            settings.seed,
+        )
+        driver = RolloutDriver(
+            fleet.config,
+            rollouts,
+            evidence,
+            watch,
+            RolloutLease(fleet),
+            fleet.writer,
+            fleet.follower,
+            EngineOrderSender(engine, incarnation),
+            HttpWeightStore(settings.platform.weights),
+            metrics,
+            now,
+            incarnation,
+        )
+        fleet.exchange.register(pool)
+        poller = LoadPoller(fleet.config, engine, servers, metrics)
+        return cls(
+            evidence=evidence,
+            pool=pool,
+            ratings=ratings,
+            rollouts=rollouts,
+            watch=watch,
+            suspects=suspects,
+            servers=servers,
+            poller=poller,
+            versions=versions,
+            driver=driver,
+        )
+
+    def start(self, fleet: FleetParts) -> None:
+        """Starts all periodic tasks."""
+        for part in (self.ratings, self.watch, self.poller, self.driver):
+            part.start(fleet.timers)
+
+
+@dataclasses.dataclass
+class RequestParts:
+    """The path of chat requests and of calls to plain services."""
+
+    admission: Admission
+    dispatcher: Dispatcher
+    service_calls: ServiceCalls
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: NodeSettings,
+        fleet: FleetParts,
+        choice: ChoiceParts,
+        engine: HttpEngine,
+    ) -> "RequestParts":
+        """Builds the request path."""
+        pace = Pace()
+        budget = RetryBudget(seed=settings.seed)
+        admission = Admission(
+            fleet.config,
+            fleet.biller,
+            fleet.limits,
+            fleet.metrics,
+            pace,
+            settings.bounds.in_flight,
+        )
+        sender = Sender(
+            fleet.config,
+            engine,
+            choice.versions,
+            choice.servers,
+            budget,
+            pace,
+            choice.suspects,
+            fleet.metrics,
+        )
+        dispatcher = Dispatcher(
+            fleet.config,
+            choice.versions,
+            fleet.pins,
+            fleet.runs,
+            fleet.biller,
+            fleet.limits,
+            admission,
+            sender,
+            choice.suspects,
+            fleet.metrics,
+        )
+        picker = RandomPicker(
+            fleet.config,
+            settings.zone,
+            lambda address: address in fleet.members.departing_upstreams(),
+            settings.seed,
+        )
+        service_calls = ServiceCalls(
+            fleet.config,
+            picker,
+            HttpPlainService(),
+            fleet.runs,
+            fleet.limits,
+            admission,
+            budget,
+            fleet.metrics,
+        )
+        return cls(admission, dispatcher, service_calls)
--- a/packages/amaranthlug/src/amaranthlug/protocol/dispatch.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/dispatch.py
@@ -273,6 +273,8 @@
     ) -> Result[Delivery, Refusal]:
         """Runs one step; a checked one is read whole before delivery."""
         record = self.catalog.catalog().versions.get(plan_step.version)
+        if record is not None:
+            settlement.open_bill(record)
         opened = self.sender.open(step)
         if isinstance(opened, Err):
             return opened
--- a/packages/amaranthlug/src/amaranthlug/protocol/engine_orders.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/engine_orders.py
@@ -1,22 +1,22 @@
-"""Gives the roll-out driver's orders to engines."""
+"""Orders of the roll-out driver to engines."""
 
 from typing import Any
 
-from result import Err, Ok, Result
+from result import Result
 
 from amaranthlug.protocol.upstream import Engine, Order, UpstreamError
 
 
-class EngineOrderAdapter:
-    """Implements `EngineOrders` of the roll-out driver over `Engine`."""
+class EngineOrderSender:
+    """Sends fenced orders on behalf of one node."""
 
     def __init__(self, engine: Engine, holder: str):
-        """Creates an adapter for orders of the node `holder`."""
+        """Creates a sender; `holder` is the incarnation of this node."""
         self.engine = engine
         self.holder = holder
 
     def state(self, address: str) -> Result[dict[str, Any], UpstreamError]:
-        """Returns versions, fence and applied orders of an engine."""
+        """Returns `versions`, `checks_fence`, `fence` and `orders`."""
         return self.engine.state(address)
 
     def load_version(
@@ -24,7 +24,4 @@
     ) -> Result[None, UpstreamError]:
         """Orders an engine to load a version and waits for it."""
         order = Order(order_id, "load", version, fence, self.holder)
-        answer = self.engine.order(address, order)
-        if isinstance(answer, Err):
-            return answer
-        return Ok(None)
+        return self.engine.order(address, order).map(lambda _: None)
--- a/packages/amaranthlug/src/amaranthlug/protocol/services.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/services.py
@@ -164,6 +164,14 @@
         """Refuses at the bound of bills that wait for the log."""
         ...
 
+    def open(self, entry: BillEntry) -> None:
+        """Copies an entry at dispatch, without waiting."""
+        ...
+
+    def close(self, request_id: str) -> None:
+        """Ends an open entry without a bill: the request did not run."""
+        ...
+
     def record(self, entry: BillEntry) -> None:
         """Copies an entry to peers; returns before the caller's end marker."""
         ...
--- a/packages/amaranthlug/src/amaranthlug/protocol/settlement.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/settlement.py
@@ -56,8 +56,30 @@
         self.admitted = False
         self.keyed = False
         self.settled = False
+        # A repeated request shares its id with the first run, whose open bill
+        # it must not close.
+        self.bill_opened = False
         self.cleanups: list[Callable[[], None]] = []
 
+    def open_bill(self, version: Version) -> None:
+        """Keeps what is billed if this node dies before the request ends."""
+        if self.bill_opened:
+            return
+        self.bill_opened = True
+        request = self.request
+        self.biller.open(
+            BillEntry(
+                request_id=request.request_id,
+                organisation=request.organisation.name,
+                kind=request.kind.name,
+                version=str(version.id),
+                prompt_tokens=request.prompt_tokens,
+                output_tokens=0,
+                cost=version.cost(request.prompt_tokens, 0),
+                outcome="cut",
+            )
+        )
+
     def finish(
         self,
         outcome: str,
@@ -73,6 +95,8 @@
         try:
             if self.use.steps:
                 self.bill(outcome, version)
+            elif self.bill_opened:
+                self.biller.close(self.request.request_id)
         finally:
             self.release(answer, ran)
 
--- a/packages/amaranthlug/src/amaranthlug/transport/server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/server.py
@@ -14,6 +14,9 @@
 STALL_S = 30.0
 """A caller that accepts or sends no byte for this long is cut, in seconds."""
 
+PEER_PATH = " /peer/"
+"""Part of the request line of messages between nodes."""
+
 IDLE_CHECK_S = 0.05
 """Period of checks for running requests during a shutdown, in seconds."""
 
@@ -38,9 +41,14 @@
         self.counted = False
 
     def read_request(self, raw_requestline: str) -> Any:
-        """Counts the request as running from its first line on."""
-        self.counted = True
-        self.server.running += 1
+        """Counts a caller's request as running from its first line on.
+
+        Peers go on sending until the node has left, so their messages must
+        not keep it from finishing.
+        """
+        if PEER_PATH not in raw_requestline:
+            self.counted = True
+            self.server.running += 1
         return super().read_request(raw_requestline)
 
     def start_response(
--- a/test/_fakes.py
+++ b/test/_fakes.py
@@ -181,11 +181,19 @@
 
     def __init__(self):
         self.bills = []
+        self.opened = []
+        self.closed = []
         self.refusal = None
 
     def may_admit(self):
         return Err(self.refusal) if self.refusal else Ok(None)
 
+    def open(self, entry):
+        self.opened.append(entry.request_id)
+
+    def close(self, request_id):
+        self.closed.append(request_id)
+
     def record(self, entry):
         self.bills.append(entry)
 
