Let the fake fleet settle by its messages

Cause: the fake fleet waited a fixed number of turns for each step. Change: it waits until no message was sent for some turns.

--- a/test/_fakes_fleet.py
+++ b/test/_fakes_fleet.py
@@ -77,6 +77,7 @@
         self.me = me
 
     def call(self, address, name, message, timeout_s):
+        activity.calls += 1
         gevent.sleep(0)
         target = self.fleet.nodes.get(address)
         if target is None or not self.fleet.reaches(self.me.address, address):
@@ -156,6 +157,7 @@
         return Ok(self.position())
 
     def append(self, record):
+        activity.calls += 1
         gevent.sleep(0)
         if not self.reachable():
             return Err(PlatformError("log", "out"))
@@ -327,7 +329,8 @@
         end = self.time + limit_s
         while not task.ready() and self.time < end:
             self.run(STEP_S)
-        return task.get(block=False)
+        # Waits within a message (`LONG_POLL_S`) take real time.
+        return task.get(timeout=5)
 
     def owners(self, slot):
         """Returns the addresses of nodes that may act on a slot now."""
@@ -348,7 +351,25 @@
             settle()
 
 
-def settle(rounds=400):
+IDLE_ROUNDS = 10
+"""Rounds without a message after which all greenlets wait for time."""
+
+
+class Activity:
+    """Counts messages and appends of all nodes."""
+
+    calls = 0
+
+
+activity = Activity()
+
+
+def settle(rounds=600):
     """Lets all greenlets run until they wait for time."""
+    idle, calls = 0, activity.calls
     for _ in range(rounds):
         gevent.sleep(0)
+        idle = idle + 1 if activity.calls == calls else 0
+        calls = activity.calls
+        if idle > IDLE_ROUNDS:
+            return
