--- a/packages/amaranthlug/src/amaranthlug/coordination/publishing.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/publishing.py
@@ -179,19 +179,10 @@
         base: Revision that the change was made against; None for the one in
             force now.
     """
-    read = session.read()
-    if isinstance(read, Err):
-        return Err(log_failed(read.err_value))
-    state = read.ok_value
-    if not state.settled:
-        return Err(
-            PublishError(
-                "records of the log have expired and no snapshot covers them; "
-                "publish again when a node has written a snapshot"
-            )
-        )
-    if base is not None and base != state.revision:
-        return Err(lost_race(base, state))
+    started = state_at_base(session, base)
+    if isinstance(started, Err):
+        return started
+    state = started.ok_value
     changed, deleted = diff_parts(state.parts, parts)
     if not changed and not deleted:
         return Ok(Published(state.revision, (), 0.0))
@@ -215,6 +206,26 @@
     return Ok(Published(verdict.ok_value.offset, paths, seconds))
 
 
+def state_at_base(
+    session: LogSession, base: int | None
+) -> Result[ConfigState, PublishError]:
+    """Reads what is in force, which must be at the base when there is one."""
+    read = session.read()
+    if isinstance(read, Err):
+        return Err(log_failed(read.err_value))
+    state = read.ok_value
+    if not state.settled:
+        return Err(
+            PublishError(
+                "records of the log have expired and no snapshot covers them; "
+                "publish again when a node has written a snapshot"
+            )
+        )
+    if base is not None and base != state.revision:
+        return Err(lost_race(base, state))
+    return Ok(state)
+
+
 def decide(
     session: LogSession, record: Publication
 ) -> Result[Verdict, PublishError]:
--- a/test/_fakes_log.py
+++ b/test/_fakes_log.py
@@ -87,6 +87,20 @@
         return Ok(self.handlers[address].handlers[name](message))
 
 
+class SenderLink:
+    """One node's link, which adds the sender as the peer client does."""
+
+    def __init__(self, links, address):
+        """Takes the network and the sender."""
+        self.links = links
+        self.address = address
+
+    def call(self, address, name, message, timeout_s):
+        """Calls a handler with a copy of the message."""
+        full = {**copy.deepcopy(message), "sender": self.address}
+        return self.links.call(address, name, full, timeout_s)
+
+
 class FakeMembers:
     """Members that a test sets."""
 
--- a/test/test_log_follower.py
+++ b/test/test_log_follower.py
@@ -247,3 +247,17 @@
     assert not writer.is_my_turn()
     writer.seen_at = clock.time - 380.0
     assert writer.is_my_turn()
+
+
+def test_log_whose_records_have_all_expired(log):
+    """A node behind it must see a gap, and hand no stand-in to a peer."""
+    links = FakeLinks()
+    node = follower(log, links)
+    folded = Folded(node)
+    assert node.catch_up(1.0).is_ok()
+    log.records += [raw(10), raw(11)]
+    log.expire(12)
+    assert node.catch_up(1.0) == Ok(11)
+    assert not folded.state.complete
+    assert node.on_records({"after": 10})["first"] == 12
+    assert node.confirmed_age() < 1.0
