--- a/packages/amaranthlug/src/amaranthlug/coordination/rating_pump.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/rating_pump.py
@@ -67,6 +67,11 @@
     waived: bool = False
 
 
+def answer_name(request_id: str, version: str) -> str:
+    """Returns the name of an answer; a cascade has one by each version."""
+    return f"{request_id}|{version}"
+
+
 class RatingPump:
     """Samples of this node's answers on their way through the service."""
 
@@ -87,7 +92,7 @@
         self.holding: deque[str] = deque()
         self.held: Counter[str] = Counter()
         self.rated_to = 0.0
-        self.position = 0
+        self.position = -1
         self.fetched_at = now()
         self.rated_at = now()
         self.allowance = SAMPLES_PER_S
@@ -127,30 +132,34 @@
             self.allowance -= 1
         if not self.unrated:
             self.rated_at = now
-        self._wait(sample.request_id, cell, server, passed, delivered)
+        self._wait(
+            sample.request_id, sample.version, cell, server, passed, delivered
+        )
         self.buffer.append(sample)
         return True
 
     def _wait(
         self,
         request_id: str,
+        version: str,
         cell: Cell,
         server: str,
         passed: bool,
         delivered: bool,
     ) -> None:
-        self._forget(request_id)
-        self.unrated[request_id] = Unrated(
+        name = answer_name(request_id, version)
+        self._forget(name)
+        self.unrated[name] = Unrated(
             cell, server, passed, delivered, self.now()
         )
-        self.holding.append(request_id)
+        self.holding.append(name)
         self.held[cell.version] += 1
         if len(self.unrated) > MAX_UNRATED:
             self._forget(next(iter(self.unrated)))
             self.metrics.incr("evidence.unrated_dropped")
 
-    def _forget(self, request_id: str) -> Unrated | None:
-        waiting = self.unrated.pop(request_id, None)
+    def _forget(self, name: str) -> Unrated | None:
+        waiting = self.unrated.pop(name, None)
         if waiting is not None and not waiting.waived:
             self.held[waiting.cell.version] -= 1
         return waiting
@@ -187,7 +196,7 @@
         self.metrics.gauge("evidence.rating_silent_s", silent_s)
 
     def _count(self, rating: Rating) -> None:
-        waiting = self._forget(rating.request_id)
+        waiting = self._forget(answer_name(rating.request_id, rating.version))
         if waiting is None:
             return
         self.rated_to = max(self.rated_to, waiting.at)
--- a/packages/amaranthlug/src/amaranthlug/protocol/outcome_count.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/outcome_count.py
@@ -41,8 +41,13 @@
         quota: UnprovenQuota,
         now: Callable[[], float],
         check: AnswerCheck,
+        completed: Callable[[RoutedRequest], None],
     ):
-        """Creates a counter without requests in flight."""
+        """Creates a counter without requests in flight.
+
+        `completed` is called with each request that got a whole answer.
+        """
+        self.completed = completed
         self.evidence = evidence
         self.ratings = ratings
         self.watch = watch
@@ -109,6 +114,7 @@
             self.evidence.count(row, **amounts)
             self.ratings.pool.changed(row, urgent=bad)
         if outcome == "complete":
+            self.completed(request)
             sample = AnswerSample(
                 request.request_id,
                 request.kind.name,
--- a/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
@@ -97,6 +97,7 @@
         seed: int | None = None,
         check: AnswerCheck = structural_check,
         hard: Callable[[RoutedRequest], bool] = looks_hard,
+        completed: Callable[[RoutedRequest], None] = lambda request: None,
     ):
         """Creates a chooser.
 
@@ -113,6 +114,7 @@
             seed: Makes exploration repeatable.
             check: Check of a cascade's first answer.
             hard: Splits easy from hard requests.
+            completed: Told of whole answers; clears suspected requests.
         """
         self.view = view
         self.evidence = evidence
@@ -128,7 +130,7 @@
         self.hard = hard
         self.windows = KindWindows(evidence, now)
         self.outcomes = OutcomeCounter(
-            evidence, ratings, watch, quota, now, check
+            evidence, ratings, watch, quota, now, check, completed
         )
         self.budgets: dict[str, float] = {}
         self.rankings: OrderedDict[
