--- a/packages/amaranthlug-standins/src/amaranthlug_standins/deployments.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/deployments.py
@@ -6,9 +6,9 @@
 from collections.abc import Mapping
 from typing import Any
 
-from amaranthlug.protocol.config_folder import load_folder
 from result import Err
 
+from amaranthlug.protocol.config_folder import load_folder
 from amaranthlug.state.catalog import Catalog
 from amaranthlug_standins.answers import Quality
 
--- a/packages/amaranthlug-ui/src/amaranthlug_ui/main.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/main.py
@@ -45,10 +45,19 @@
     help="Your name, shown to others.",
 )
 NODES = click.option(
-    "--nodes", multiple=True, help="Address host:port of a node; repeatable."
+    "--nodes",
+    multiple=True,
+    callback=lambda ctx, param, value: split_addresses(value),
+    help="Addresses host:port of nodes, separated by commas; repeatable.",
 )
 
 
+def split_addresses(values: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns the single addresses of options that may name several."""
+    addresses = ",".join(values).split(",")
+    return tuple(address.strip() for address in addresses if address.strip())
+
+
 def log_options(command: Command) -> Command:
     """Adds the options of commands that use the log."""
     wait = click.option(
@@ -94,11 +103,17 @@
 @FOLDER
 @OPERATOR
 @NODES
+@click.option(
+    "--rebase",
+    is_flag=True,
+    help="Ignore the revision that the folder was last published as.",
+)
 @log_options
 def publish(
     folder: pathlib.Path,
     operator: str,
     nodes: tuple[str, ...],
+    rebase: bool,
     log_url: str,
     wait_s: float,
 ) -> None:
@@ -108,14 +123,17 @@
     3 when some of the nodes named have not taken it over in time.
     """
     loaded = folder_or_exit(folder)
-    base = load_base(folder)
-    if isinstance(base, Err):
-        raise click.ClickException(base.err_value)
+    base = None if rebase else base_or_exit(folder)
     session = new_session(log_url, wait_s)
-    done = value_or_exit(
-        publish_parts(session, loaded.parts, operator, base.ok_value)
-    )
-    save_base(folder, done.revision)
+    found = publish_parts(session, loaded.parts, operator, base)
+    if isinstance(found, Err) and found.err_value.winners:
+        click.echo(
+            "nothing was applied; take the other operator's parts into the "
+            "folder, then publish with --rebase",
+            err=True,
+        )
+    done = value_or_exit(found)
+    keep_base(folder, done.revision)
     if done.paths:
         click.echo(
             f"revision {done.revision} accepted after {done.seconds:.2f} s: "
@@ -229,6 +247,22 @@
     )
 
 
+def base_or_exit(folder: pathlib.Path) -> int | None:
+    """Returns the revision of a folder, None when it was never published."""
+    base = load_base(folder)
+    if isinstance(base, Err):
+        raise click.ClickException(base.err_value)
+    return base.ok_value
+
+
+def keep_base(folder: pathlib.Path, revision: int) -> None:
+    """Notes the revision in the folder; a read-only one stays without."""
+    try:
+        save_base(folder, revision)
+    except OSError as error:
+        click.echo(f"the revision was not noted in {folder}: {error}", err=True)
+
+
 def new_session(log_url: str, wait_s: float) -> LogSession:
     """Returns a session with the log."""
     return LogSession(connections.log_service(log_url), wait_s)
--- a/test/test_config_folder.py
+++ b/test/test_config_folder.py
@@ -95,6 +95,32 @@
         (("rollouts", "r", "to_version"), "1", "equals from_version"),
         (("rollouts", "r", "stages"), [], "end with share: 1.0"),
         (("colours",), {}, "unknown section"),
+        (("kinds",), 3, "list its parts by name"),
+        (
+            ("pools", "gpu", "upstreams"),
+            [{"address": "h:1", "zone": "a"}] * 2,
+            "h:1 is listed twice",
+        ),
+        (
+            ("services", "desk", "routes"),
+            [{"method": "GET", "prefix": "/", "repeatable": True}] * 2,
+            "GET / is listed twice",
+        ),
+        (
+            ("rollouts", "r", "stages"),
+            [{**STAGES[0], "share": 0.5}, {**STAGES[0], "share": 0.2}, *STAGES],
+            "order the stages by share",
+        ),
+        (
+            ("rollouts", "s"),
+            {
+                "model": "m",
+                "from_version": "2",
+                "to_version": "1",
+                "stages": STAGES,
+            },
+            "remove the finished roll-out first",
+        ),
     ],
 )
 def test_each_error_names_file_key_and_remedy(tmp_path, path, value, expected):
--- a/test/test_publications.py
+++ b/test/test_publications.py
@@ -64,6 +64,25 @@
     assert "quality_target: 7.0 is not a share" in str(verdicts[0])
 
 
+@pytest.mark.parametrize(
+    ("path", "body", "expected"),
+    [
+        ("colours/x", {}, "unknown section"),
+        ("kinds/k", {}, "missing required field `quality_target`"),
+        ("kinds/k", {"quality_target": "high"}, "quality_target: Expected"),
+        ("organisations/o", {"key_digests": [], "allowed": ["m"]}, "allowed"),
+        ("versions/m", {}, "not of the form model@version"),
+        ("kinds/k", 3, "kinds/k: "),
+    ],
+)
+def test_malformed_part_is_rejected_by_the_fold(path, body, expected):
+    """A part that stops the fold would stop every node at its offset."""
+    record = Publication(id="a", operator="ana", base=-1, parts={path: body})
+    state, verdicts = folded([record])
+    assert (state.revision, verdicts[0].accepted) == (-1, False)
+    assert expected in str(verdicts[0])
+
+
 def test_deleting_a_part_in_use_is_rejected():
     """A deletion must not leave a reference without its target."""
     pool = {"upstreams": [{"address": "h:1", "zone": "a"}]}
--- a/test/test_ui_commands.py
+++ b/test/test_ui_commands.py
@@ -62,7 +62,7 @@
     monkeypatch.setattr(connections, "node_status", answers.get)
     status, output = run("publish", folder, "--nodes", "a:1", log=log)
     assert (status, "in force at 1 of 1 nodes" in output) == (0, True)
-    words = ("--nodes", "a:1", "--nodes", "b:1", "--wait", "0.3")
+    words = ("--nodes", "a:1,b:1", "--wait", "0.3")
     status, output = run("publish", folder, *words, log=log)
     assert status == 3
     assert "1 of 2 nodes" in output and "not confirmed by b:1" in output
@@ -83,6 +83,9 @@
     assert json.loads((other / ".amaranthlug.json").read_text()) == {
         "revision": 0
     }
+    status, _ = run("publish", other, "--rebase", log=log, operator="rui")
+    assert status == 0
+    assert "revision 2 by rui" in run("status", log=log)[1]
 
 
 def test_withdraw_and_readmit_show_in_status(log, folder):
