Let the operators of config-race act in the same moment

Cause: In a trial of config-race all 86 publications were accepted, so that there was no race; log and rating ignored the seed of the fleet. Change: Both operators act in rounds with a spread of 30 ms; the fleet passes its seed to log and rating; an engine run starts when its request arrives.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/demo.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/demo.py
@@ -72,7 +72,7 @@
     total = counts.notes.get(note)
     if not total or not counts.billed_once:
         return None
-    return round(total / MICRO_UNITS / counts.billed_once, 9)
+    return float(f"{total / MICRO_UNITS / counts.billed_once:.4g}")
 
 
 def row_of(name: str, counts: Counts) -> Row:
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/engine_routes.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/engine_routes.py
@@ -59,10 +59,12 @@
         Raises:
             HTTPTooManyRequests: The queue is full.
         """
+        arrived_at = time.time()
         body = req.media
         prompt = answers.prompt_of(body.get("messages", []))
         self.refuse_by_fault(req, body, prompt)
         run = self.new_run(req, body, prompt)
+        run.started_at = arrived_at
         if not self.engine.batch.submit(run):
             raise falcon.HTTPTooManyRequests(retry_after=1)
         self.engine.remember(run)
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/config_race.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/config_race.py
@@ -21,6 +21,10 @@
 RATE = 30.0
 WITHDRAWN = "scribe@2"
 WITHDRAW_AFTER_S = 6.0
+ROUND_S = 0.4
+SPREAD_S = 0.03
+"""Rounds of publications and the spread of the operators within one."""
+
 IN_FORCE_LIMIT_S = 12.0
 """Seconds until an accepted configuration must be in force everywhere."""
 
@@ -42,12 +46,15 @@
     def operate(self, operator: str, organisation: str) -> None:
         """Publishes changes against the revision that some node has."""
         path = f"organisations/{organisation}"
-        ends = time.monotonic() + LOAD_S
-        while time.monotonic() < ends:
-            gevent.sleep(self.source.uniform(0.1, 0.6))
+        started = time.monotonic()
+        for number in range(1, int(LOAD_S / ROUND_S)):
+            # Both operators act in the same moment, so that they do race.
+            due = started + number * ROUND_S + self.source.uniform(0, SPREAD_S)
+            gevent.sleep(max(0.0, due - time.monotonic()))
             status = self.source.choice(self.fleet.nodes).status()
             if status is None:
                 continue
+            gevent.sleep(self.source.uniform(0, SPREAD_S))
             body = dict(self.fleet.wired_parts()[path])
             body["limits"] = {
                 **body["limits"],
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
@@ -1,5 +1,6 @@
 """Starts and stops a whole deployment for tests, demo and experiments."""
 
+import dataclasses
 import importlib
 import json
 import pathlib
@@ -83,9 +84,9 @@
         """Starts platform services, engines and plain services."""
         seed, options = self.options.seed, self.options
         pending: list[tuple[str, type[StandIn], Any]] = [
-            ("log", LogStandIn, options.log),
+            ("log", LogStandIn, dataclasses.replace(options.log, seed=seed)),
             ("vm_list", VmListStandIn, VmListConfig(seed=seed)),
-            ("rating", RatingStandIn, options.rating),
+            ("rating", RatingStandIn, dataclasses.replace(options.rating, seed=seed)),
             ("weights", WeightsStandIn, WeightsConfig(seed=seed)),
         ]
         placeholders: dict[str, tuple[str, bool]] = {}
