--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/suspects.py
@@ -0,0 +1,201 @@
+"""Requests that crash servers: suspected, run alone, condemned or cleared."""
+
+import dataclasses
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from amaranthlug.coordination.peers import Rumours
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.protocol.choice_refusals import poisoned
+from amaranthlug.protocol.poison import poison_digest
+from amaranthlug.protocol.services import RoutedRequest
+from amaranthlug.state.refusal import Refusal
+
+TOPIC = "suspect"
+
+EXPIRY_S = 600.0
+"""Time after which a suspicion ends, in seconds."""
+
+CONDEMNED_BY = 2
+"""Crashes after which a request is refused."""
+
+MAX_SUSPECTS = 10_000
+"""Digests remembered; the oldest are dropped beyond it."""
+
+MAX_ALONE_S = 60.0
+"""Time for which a server is kept for a suspect; it ends the reservation of a
+node that is gone, in seconds."""
+
+MAX_RESERVED = 64
+"""Reservations remembered; the oldest are dropped beyond it."""
+
+
+@dataclasses.dataclass
+class Suspect:
+    """Crashes that a request was in, and those it was cleared of."""
+
+    at: float
+    crashes: set[str] = dataclasses.field(default_factory=set)
+    cleared: set[str] = dataclasses.field(default_factory=set)
+
+    def count(self) -> int:
+        """Returns the crashes that still speak against the request."""
+        return len(self.crashes - self.cleared)
+
+
+@dataclasses.dataclass(frozen=True)
+class Reservation:
+    """A server kept for one suspect until a monotonic time in seconds."""
+
+    digest: str
+    name: str
+    until: float
+
+
+class SuspectRegister:
+    """The `Suspects` of the fleet; facts only grow, so order is no matter.
+
+    Each request that ran on a crashed server loses its own connection and so
+    reports itself: nothing tells which of them is the cause. The innocent
+    ones are cleared when they complete.
+    """
+
+    def __init__(
+        self,
+        rumours: Rumours,
+        metrics: Metrics,
+        now: Callable[[], float],
+        incarnation: str,
+    ):
+        """Creates an empty register and subscribes it to rumours.
+
+        `confirm` is called with the address and the id of each crash, to find
+        out whether the server really crashed; see `LoadPoller`.
+        """
+        self.rumours = rumours
+        self.metrics = metrics
+        self.now = now
+        self.incarnation = incarnation
+        self.suspects: OrderedDict[str, Suspect] = OrderedDict()
+        self.reservations: OrderedDict[str, Reservation] = OrderedDict()
+        self.ended: OrderedDict[str, None] = OrderedDict()
+        self.number = 0
+        self.confirm: Callable[[str, str], None] | None = None
+        rumours.subscribe(TOPIC, self.learn)
+
+    def admit(self, digest: str) -> Result[None, Refusal]:
+        """Refuses a condemned digest; a suspected one is picked alone."""
+        if self.condemned(digest):
+            return Err(poisoned(not_run=True))
+        return Ok(None)
+
+    def crashed(self, digest: str, address: str) -> None:
+        """Counts a crash of a server while it ran the digest."""
+        crash = self._name(address)
+        self.metrics.incr("poison.crashes")
+        self._spread({"digest": digest, "crash": crash})
+        self.finished(digest)
+        if self.confirm is not None:
+            self.confirm(address, crash)
+
+    def finished(self, digest: str) -> None:
+        """Ends the reservations of a suspect."""
+        for address, held in list(self.reservations.items()):
+            if held.digest == digest:
+                self._spread({"free": address, "name": held.name})
+
+    def completed(self, request: RoutedRequest) -> None:
+        """Clears a suspect that a server has answered."""
+        if not self.suspects:
+            return
+        digest = poison_digest(request)
+        if self.suspected(digest):
+            self.metrics.incr("poison.cleared")
+            crashes = sorted(self.suspects[digest].crashes)
+            self._spread({"digest": digest, "cleared": crashes})
+
+    def not_crashed(self, crash: str) -> None:
+        """Clears all requests of a crash that turned out not to be one."""
+        for digest, suspect in list(self.suspects.items()):
+            if crash in suspect.crashes - suspect.cleared:
+                self._spread({"digest": digest, "cleared": [crash]})
+
+    def reserve(self, address: str, digest: str) -> None:
+        """Keeps other requests off a server, on all nodes."""
+        held = self.reservations.get(address)
+        if held is None or held.digest != digest:
+            name = self._name(digest)
+            self._spread({"alone": address, "digest": digest, "name": name})
+
+    def reserved(self, address: str, digest: str = "") -> bool:
+        """Tells whether a server is kept for another request."""
+        held = self.reservations.get(address)
+        if held is None or held.until <= self.now():
+            return False
+        return held.digest != digest
+
+    def _name(self, about: str) -> str:
+        """Returns a unique name; equal facts are taken as repeats."""
+        self.number += 1
+        return f"{about}|{self.incarnation}|{self.number}"
+
+    def _spread(self, fact: dict[str, Any]) -> None:
+        self.rumours.spread(TOPIC, fact)
+
+    def learn(self, fact: dict[str, Any]) -> bool:
+        """Merges a fact from here or a peer; True when it was new."""
+        if "digest" in fact and "alone" not in fact:
+            return self._learn_suspect(fact)
+        name = fact["name"]
+        if "free" in fact:
+            self._end(name)
+            held = self.reservations.get(fact["free"])
+            if held is None or held.name != name:
+                return False
+            del self.reservations[fact["free"]]
+            return True
+        address = fact["alone"]
+        known = self.reservations.get(address)
+        if name in self.ended or (known and known.name == name):
+            return False
+        until = self.now() + MAX_ALONE_S
+        self.reservations[address] = Reservation(fact["digest"], name, until)
+        if len(self.reservations) > MAX_RESERVED:
+            self.reservations.popitem(last=False)
+        return True
+
+    def _end(self, name: str) -> None:
+        """Remembers an end, which may arrive before the reservation."""
+        self.ended[name] = None
+        if len(self.ended) > MAX_RESERVED:
+            self.ended.popitem(last=False)
+
+    def _learn_suspect(self, fact: dict[str, Any]) -> bool:
+        now, digest = self.now(), fact["digest"]
+        suspect = self.suspects.get(digest)
+        if suspect is None or now - suspect.at > EXPIRY_S:
+            suspect = self.suspects[digest] = Suspect(now)
+            if len(self.suspects) > MAX_SUSPECTS:
+                self.suspects.popitem(last=False)
+        before = (len(suspect.crashes), len(suspect.cleared))
+        if "crash" in fact:
+            suspect.crashes.add(fact["crash"])
+        suspect.cleared.update(fact.get("cleared", ()))
+        return before != (len(suspect.crashes), len(suspect.cleared))
+
+    def _count(self, digest: str) -> int:
+        suspect = self.suspects.get(digest)
+        if suspect is None or self.now() - suspect.at > EXPIRY_S:
+            return 0
+        return suspect.count()
+
+    def suspected(self, digest: str) -> bool:
+        """Tells whether a request may run only alone."""
+        return self._count(digest) > 0
+
+    def condemned(self, digest: str) -> bool:
+        """Tells whether a request may not run."""
+        return self._count(digest) >= CONDEMNED_BY
--- a/test/_fakes_fleet.py
+++ b/test/_fakes_fleet.py
@@ -5,6 +5,8 @@
 import gevent
 from result import Err, Ok
 
+from amaranthlug.coordination.bill_copies import BillCopies
+from amaranthlug.coordination.billing import LogBiller
 from amaranthlug.coordination.exchange import Exchange
 from amaranthlug.coordination.membership import Membership
 from amaranthlug.coordination.peers import (
@@ -15,6 +17,10 @@
 )
 from amaranthlug.coordination.platform import PlatformError
 from amaranthlug.coordination.rumours import RumourMill
+from amaranthlug.coordination.run_register import SlotRunRegister
+from amaranthlug.coordination.session_pins import SlotSessionPins
+from amaranthlug.coordination.slot_claims import SlotClaims
+from amaranthlug.coordination.slots import SlotKeeper
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.coordination.vm_watch import VmWatch
 from amaranthlug.state.members import Member
@@ -208,7 +214,49 @@
             self.link, self.membership, self.handlers, self.timers
         )
         self.exchange.register(self.membership)
-        for part in (self.vms, self.membership, self.exchange):
+        self.slots = SlotKeeper(
+            self.membership,
+            self.link,
+            self.handlers,
+            self.feed,
+            self.timers,
+            self.metrics,
+            timings,
+            wall_s=lambda: fleet.time,
+            pause=fleet.wait,
+        )
+        self.claims = SlotClaims(
+            self.slots, self.feed, self.membership.certainly_gone
+        )
+        self.runs = SlotRunRegister(self.slots, self.handlers)
+        self.withdrawn = set()
+        self.pins = SlotSessionPins(
+            self.slots,
+            self.handlers,
+            lambda organisation, version: str(version) not in self.withdrawn,
+        )
+        self.copies = BillCopies(
+            self.membership,
+            self.handlers,
+            self.feed,
+            self.feed,
+            self.timers,
+            self.metrics,
+        )
+        self.biller = LogBiller(
+            self.membership,
+            self.link,
+            self.feed,
+            self.feed,
+            self.copies,
+            self.timers,
+            self.metrics,
+            timings,
+        )
+        self.copies.start()
+        self.biller.start()
+        parts = (self.vms, self.membership, self.exchange, self.slots)
+        for part in (*parts, self.claims, self.runs, self.pins):
             part.start()
         self.timers.every("log", 0.5, self.feed.poll)
 
@@ -220,6 +268,7 @@
 
     def __init__(self, count, zones=("a", "b", "c"), timings=None):
         self.time = 1_000.0
+        self.main = gevent.getcurrent()
         self.timings = timings or Timings()
         self.nodes = {}
         self.log = FakeLog()
@@ -263,6 +312,31 @@
             return False
         return (sender, receiver) not in self.cuts
 
+    def wait(self, seconds):
+        """Waits for fake time within a greenlet; not in the main one."""
+        if gevent.getcurrent() is self.main:
+            return
+        end = self.time + seconds
+        while self.time < end:
+            gevent.sleep(0)
+
+    def call(self, function, *arguments, limit_s=60):
+        """Calls a function in a greenlet while time runs."""
+        task = gevent.spawn(function, *arguments)
+        settle()
+        end = self.time + limit_s
+        while not task.ready() and self.time < end:
+            self.run(STEP_S)
+        return task.get(block=False)
+
+    def owners(self, slot):
+        """Returns the addresses of nodes that may act on a slot now."""
+        return [
+            address
+            for address, node in self.nodes.items()
+            if node.slots.holds(slot)
+        ]
+
     def run(self, seconds):
         """Moves time and runs the timers that are due."""
         end = self.time + seconds
