Tell condemned requests apart, notice callers who leave, pass key times

Cause: after its second crash a request got upstream_failed instead of poisoned_request; the caller of a whole answer was noticed only at its end; X-Key-Issued-At did not reach the run register.

Change: the final refusal after a crash asks the suspects and says whether the request ran; a whole answer looks for a closed connection every 0.1 s, cancels upstream and bills what ran; the time of issue is a member of the request and a parameter of RunRegister.begin.

--- a/packages/amaranthlug/src/amaranthlug/protocol/chat.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/chat.py
@@ -82,6 +82,7 @@
     session_id: str = ""
     idempotency_key: str = ""
     deadline_ms: str = ""
+    key_issued_at: str = ""
 
 
 def bad_request(message: str, remedy: str) -> Err[Refusal]:
@@ -182,6 +183,18 @@
     return Ok(min(milliseconds, MAX_DEADLINE_MS) / 1_000)
 
 
+def issued_of(text: str) -> Result[int | None, Refusal]:
+    """Returns when a key was issued, in Unix milliseconds."""
+    if not text:
+        return Ok(None)
+    if not text.isascii() or not text.isdigit():
+        return bad_request(
+            "X-Key-Issued-At is not a whole number",
+            "send Unix milliseconds",
+        )
+    return Ok(int(text))
+
+
 def text_of(message: Message) -> str:
     """Returns the text of a message."""
     if isinstance(message.content, str):
@@ -255,6 +268,9 @@
     checked = check_headers(headers)
     if isinstance(checked, Err):
         return checked
+    issued = issued_of(headers.key_issued_at)
+    if isinstance(issued, Err):
+        return issued
     return Ok(
         RoutedRequest(
             request_id=request_id_of(
@@ -271,6 +287,7 @@
             prompt=last_prompt(chat),
             session_id=headers.session_id,
             idempotency_key=headers.idempotency_key,
+            key_issued_ms=issued.ok_value,
         )
     )
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/dispatch.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/dispatch.py
@@ -1,6 +1,9 @@
 """Dispatch: from a caller's request to its answer."""
 
+import dataclasses
 import logging
+import time
+from collections.abc import Callable
 
 from result import Err, Ok, Result
 
@@ -34,7 +37,21 @@
 
 log = logging.getLogger(__name__)
 
-Delivery = Relay | tuple[Relay, list[bytes]]
+LEFT_CHECK_S = 0.1
+"""Period of checks whether the caller of a whole answer has left, in seconds;
+the caller of a stream is noticed by the next write."""
+
+
+class CallerLeftError(Exception):
+    """The caller closed its connection before its whole answer."""
+
+
+@dataclasses.dataclass
+class Delivery:
+    """A step to deliver; `held` are the blocks of a checked answer."""
+
+    relay: Relay
+    held: list[bytes] | None = None
 
 
 class ReplayedStream:
@@ -86,16 +103,24 @@
         self.metrics = metrics
 
     def handle(
-        self, raw: bytes, headers: CallerHeaders
+        self,
+        raw: bytes,
+        headers: CallerHeaders,
+        left: Callable[[], bool] = lambda: False,
     ) -> Result[Answer, Refusal]:
-        """Returns the answer to a body, or its refusal."""
-        answered = self.try_handle(raw, headers)
+        """Returns the answer to a body, or its refusal.
+
+        Raises:
+            CallerLeftError: The caller of a whole answer closed its
+                connection, as `left` tells.
+        """
+        answered = self.try_handle(raw, headers, left)
         if isinstance(answered, Err):
             self.metrics.incr(f"refused.{answered.err_value.code}")
         return answered
 
     def try_handle(
-        self, raw: bytes, headers: CallerHeaders
+        self, raw: bytes, headers: CallerHeaders, left: Callable[[], bool]
     ) -> Result[Answer, Refusal]:
         """Admits, parses and runs a request."""
         serving = self.admission.may_serve()
@@ -117,7 +142,7 @@
             self.metrics,
         )
         try:
-            answered = self.run(request, settlement)
+            answered = self.run(request, settlement, left)
         except BaseException:
             settlement.finish("error", ran=True)
             raise
@@ -130,7 +155,10 @@
         return answered
 
     def run(
-        self, request: RoutedRequest, settlement: Settlement
+        self,
+        request: RoutedRequest,
+        settlement: Settlement,
+        left: Callable[[], bool],
     ) -> Result[Answer, Refusal]:
         """Runs a request that has a place in flight."""
         stored = self.begin(request, settlement)
@@ -149,7 +177,7 @@
         if isinstance(safe, Err):
             return safe
         settlement.cleanups.append(lambda: self.suspects.finished(digest))
-        return self.run_plan(request, settlement)
+        return self.run_plan(request, settlement, left)
 
     def begin(
         self, request: RoutedRequest, settlement: Settlement
@@ -162,6 +190,7 @@
             request.idempotency_key,
             request.digest,
             request.kind.idempotent,
+            request.key_issued_ms,
         )
         if isinstance(begun, Err):
             return begun
@@ -187,7 +216,10 @@
         return Ok(WholeAnswer(ticket.answer, headers))
 
     def run_plan(
-        self, request: RoutedRequest, settlement: Settlement
+        self,
+        request: RoutedRequest,
+        settlement: Settlement,
+        left: Callable[[], bool],
     ) -> Result[Answer, Refusal]:
         """Chooses and runs; chooses anew once if a version was withdrawn."""
         for last_choice in (False, True):
@@ -197,7 +229,11 @@
             plan, moved = planned.ok_value
             ran = self.run_steps(request, plan, settlement)
             if isinstance(ran, Ok):
-                return self.deliver(request, ran.ok_value, settlement, moved)
+                delivery = ran.ok_value
+                headers = answer_headers(request, delivery.relay.record.id)
+                if moved:
+                    headers["X-Session-Moved"] = moved
+                return self.deliver(delivery, settlement, headers, left)
             refusal = ran.err_value
             stale = refusal.code == RefusalCode.NO_VERSION and refusal.not_run
             if last_choice or not stale:
@@ -282,7 +318,7 @@
             raise AssertionError("a version that may be sent to is known")
         relay = Relay(self.sender, step, opened.ok_value, record)
         if last or not plan_step.check:
-            return Ok(relay)
+            return Ok(Delivery(relay))
         try:
             held = list(relay.blocks())
         except RelayFailedError as error:
@@ -291,7 +327,7 @@
             return Err(error.refusal)
         text = step.meter.text
         if self.chooser.passes_check(step.request, step.version, text):
-            return Ok((relay, held))
+            return Ok(Delivery(relay, held))
         relay.attempt.end("complete", text, failed=False)
         relay.attempt.finish()
         relay.count_use(settlement)
@@ -300,24 +336,18 @@
 
     def deliver(
         self,
-        request: RoutedRequest,
         delivery: Delivery,
         settlement: Settlement,
-        moved: str,
+        headers: dict[str, str],
+        left: Callable[[], bool],
     ) -> Result[Answer, Refusal]:
         """Returns the answer of a step, streamed or whole."""
-        relay, held = (
-            (delivery, None) if isinstance(delivery, Relay) else delivery
-        )
-        headers = answer_headers(request, relay.record.id)
-        if moved:
-            headers["X-Session-Moved"] = moved
-        if request.stream:
-            return Ok(StreamAnswer(relay, settlement, headers, held))
+        relay = delivery.relay
+        if settlement.request.stream:
+            return Ok(StreamAnswer(relay, settlement, headers, delivery.held))
         try:
-            if held is None:
-                for _ in relay.blocks():
-                    pass
+            if delivery.held is None:
+                read_whole(relay, left)
         except RelayFailedError as error:
             relay.fail(settlement)
             return Err(error.refusal)
@@ -330,6 +360,22 @@
         return Ok(WholeAnswer(body, headers))
 
 
+def read_whole(relay: Relay, left: Callable[[], bool]) -> None:
+    """Reads an answer to its end.
+
+    Raises:
+        CallerLeftError: The caller closed its connection.
+        RelayFailedError: The answer cannot be completed.
+    """
+    next_check = 0.0
+    for _ in relay.blocks():
+        now = time.monotonic()
+        if now >= next_check:
+            next_check = now + LEFT_CHECK_S
+            if left():
+                raise CallerLeftError
+
+
 def sender_check_failed(step: StepRun) -> Refusal:
     """Returns the refusal of a checked step without a next one."""
     return refuse(
--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -220,6 +220,12 @@
 
     def failure(self, step: StepRun) -> Refusal:
         """Returns the final answer to a step that was given up."""
+        if step.crashes:
+            condemned = self.suspects.admit(poison_digest(step.request))
+            if isinstance(condemned, Err):
+                return dataclasses.replace(
+                    condemned.err_value, not_run=not step.received
+                )
         error = step.last_error
         text = error.message if error else "no server answered"
         wait = (error.retry_after_s if error else None) or FAILED_RETRY_S
--- a/packages/amaranthlug/src/amaranthlug/protocol/service_calls.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/service_calls.py
@@ -16,6 +16,7 @@
     CallerHeaders,
     authenticate,
     check_headers,
+    issued_of,
     request_id_of,
 )
 from amaranthlug.protocol.refusals import refuse
@@ -176,6 +177,9 @@
         checked = check_headers(headers)
         if isinstance(checked, Err):
             return checked
+        issued = issued_of(headers.key_issued_at)
+        if isinstance(issued, Err):
+            return issued
         organisation = found.ok_value
         routed = find_route(name, method, path, organisation, catalog)
         if isinstance(routed, Err):
@@ -192,6 +196,7 @@
         if content_type:
             upstream_headers["Content-Type"] = content_type
         call = Call(service, route, method, path, upstream_headers, raw)
+        call.issued_ms = issued.ok_value
         try:
             if headers.idempotency_key:
                 return self.keyed(call, organisation, key)
@@ -205,7 +210,7 @@
         """Runs a call with a key at most once, or returns its answer."""
         scope = f"run|{organisation.name}"
         begun = self.runs.begin(
-            scope, key, call.digest(), call.route.repeatable
+            scope, key, call.digest(), call.route.repeatable, call.issued_ms
         )
         if isinstance(begun, Err):
             return begun
@@ -294,6 +299,7 @@
         self.path = path
         self.headers = headers
         self.raw = raw
+        self.issued_ms: int | None = None
 
     def digest(self) -> str:
         """Returns the hash that tells two calls with one key apart."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/services.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/services.py
@@ -25,6 +25,7 @@
         deadline: Monotonic time by which the whole answer is due, in seconds.
         model: `auto`, a model, or `model@version`.
         prompt_tokens: Estimate.
+        key_issued_ms: `X-Key-Issued-At` in Unix milliseconds.
         digest: Hash of organisation and normalised body.
     """
 
@@ -40,6 +41,7 @@
     prompt: str = ""
     session_id: str = ""
     idempotency_key: str = ""
+    key_issued_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -142,7 +144,12 @@
     """Runs of requests that carry an idempotency key."""
 
     def begin(
-        self, scope: str, key: str, digest: str, idempotent: bool
+        self,
+        scope: str,
+        key: str,
+        digest: str,
+        idempotent: bool,
+        issued_ms: int | None = None,
     ) -> Result[RunTicket, Refusal]:
         """Registers a run before dispatch.
 
--- a/packages/amaranthlug/src/amaranthlug/transport/app.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/app.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import socket
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -10,7 +11,11 @@
 from result import Err
 
 from amaranthlug.protocol.chat import CallerHeaders, too_large
-from amaranthlug.protocol.dispatch import Dispatcher, WholeAnswer
+from amaranthlug.protocol.dispatch import (
+    CallerLeftError,
+    Dispatcher,
+    WholeAnswer,
+)
 from amaranthlug.protocol.service_calls import ServiceCalls
 from amaranthlug.protocol.services import EntryView
 from amaranthlug.state.refusal import Refusal
@@ -18,6 +23,9 @@
 
 log = logging.getLogger(__name__)
 
+SOCKET_KEY = "amaranthlug.socket"
+"""Key of the WSGI environment under which the caller's socket is."""
+
 PEER_BODY_BYTES = 16_000_000
 """Bound of a message from a peer; a page of log records is the largest."""
 
@@ -76,9 +84,25 @@
         session_id=req.get_header("X-Session-Id") or "",
         idempotency_key=req.get_header("Idempotency-Key") or "",
         deadline_ms=req.get_header("X-Deadline-Ms") or "",
+        key_issued_at=req.get_header("X-Key-Issued-At") or "",
     )
 
 
+def caller_left(req: falcon.Request) -> bool:
+    """Tells whether the caller closed its connection."""
+    sock = req.env.get(SOCKET_KEY)
+    if sock is None:
+        return False
+    try:
+        # gevent's own recv would wait for data.
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        return not sock._sock.recv(1, flags)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 class EntryResource:
     """Entry addresses for callers."""
 
@@ -112,7 +136,9 @@
             resp.set_header("Connection", "close")
             send_refusal(resp, refusal)
             return
-        answered = self.dispatcher.handle(raw, caller_headers(req))
+        answered = self.dispatcher.handle(
+            raw, caller_headers(req), lambda: caller_left(req)
+        )
         if isinstance(answered, Err):
             send_refusal(resp, answered.err_value)
             return
@@ -236,6 +262,7 @@
     app = falcon.App()
     app.add_error_handler(Exception, log_failure)
     app.add_error_handler(falcon.HTTPError, send_http_error)
+    app.add_error_handler(CallerLeftError, note_left)
     app.add_route("/v1/entry", EntryResource(entries, node))
     app.add_route("/v1/chat/completions", ChatResource(dispatcher, body_bytes))
     operator = OperatorResource(node, metrics)
@@ -248,6 +275,17 @@
     return app
 
 
+def note_left(
+    req: falcon.Request,
+    resp: falcon.Response,
+    error: CallerLeftError,
+    params: dict[str, Any],
+) -> None:
+    """Ends a request whose caller is gone; nobody reads the answer."""
+    resp.set_header("Connection", "close")
+    send_json(resp, {}, 499)
+
+
 def send_http_error(
     req: falcon.Request,
     resp: falcon.Response,
--- a/packages/amaranthlug/src/amaranthlug/transport/server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/server.py
@@ -10,6 +10,8 @@
 import gevent
 from gevent import pywsgi
 
+from amaranthlug.transport.app import SOCKET_KEY
+
 log = logging.getLogger(__name__)
 
 STALL_S = 30.0
@@ -87,6 +89,12 @@
             headers = [*headers, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
 
+    def get_environ(self) -> dict[str, Any]:
+        """Shows the caller's socket to the app, which watches it."""
+        environ = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
     def handle_one_request(self) -> Any:
         """Ends the count whatever happens."""
         try:
--- a/test/_fakes.py
+++ b/test/_fakes.py
@@ -155,7 +155,7 @@
     def __init__(self):
         self.runs = {}
 
-    def begin(self, scope, key, digest, idempotent):
+    def begin(self, scope, key, digest, idempotent, issued_ms=None):
         while True:
             run = self.runs.get((scope, key))
             if run is None:
@@ -217,6 +217,24 @@
         self.used.append((tokens, cost))
 
 
+class FakeSuspects:
+    """Condemns a digest after two crashes."""
+
+    def __init__(self):
+        self.crashes = []
+
+    def admit(self, digest):
+        if self.crashes.count(digest) >= 2:
+            return Err(refuse(RefusalCode.POISONED_REQUEST, "bad", "change"))
+        return Ok(None)
+
+    def crashed(self, digest, address):
+        self.crashes.append(digest)
+
+    def finished(self, digest):
+        pass
+
+
 def token_event(text, **extra):
     """Returns the event of one token."""
     chunk = {"choices": [{"index": 0, "delta": {"content": text}}], **extra}
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -11,6 +11,7 @@
     KEY,
     WORDS,
     Bench,
+    FakeSuspects,
     Script,
     drain,
     wait_for,
@@ -179,6 +180,40 @@
     bench.check_settled()
 
 
+def test_condemned_request_is_told_whether_it_ran():
+    """A poisoned request refused as "not run" by the node that ran it."""
+    bench = Bench(*[Script(error="reset")] * 9)
+    bench.dispatcher.suspects = bench.sender.suspects = FakeSuspects()
+    first = bench.ask().unwrap_err()
+    assert (first.code, first.not_run) == ("poisoned_request", False)
+    second = bench.ask().unwrap_err()
+    assert (second.code, second.not_run) == ("poisoned_request", True)
+    assert len(bench.engine.calls) == 2
+    bench.check_settled()
+
+
+def test_issue_time_of_a_key_reaches_the_register():
+    """A new key refused after a takeover although it was issued later."""
+    bench = Bench()
+    seen = []
+    begin = bench.runs.begin
+
+    def note(*args):
+        seen.append(args[-1])
+        return begin(*args)
+
+    bench.runs.begin = note
+    headers = CallerHeaders(
+        f"Bearer {KEY}", "tag", idempotency_key="k", key_issued_at="1700"
+    )
+    assert bench.ask(headers=headers).is_ok()
+    assert seen == [1700]
+    headers = CallerHeaders(f"Bearer {KEY}", key_issued_at="x")
+    assert bench.ask(headers=headers).unwrap_err().code == "unknown_kind"
+    headers = CallerHeaders(f"Bearer {KEY}", "tag", key_issued_at="x")
+    assert bench.ask(headers=headers).unwrap_err().code == "bad_request"
+
+
 def test_retries_stop_when_the_budget_is_empty():
     """Retries that multiply the load of a failing pool."""
     bench = Bench(*[Script(error="status")] * 500)
--- a/test/test_server.py
+++ b/test/test_server.py
@@ -139,6 +139,18 @@
     node.bench.check_settled()
 
 
+def test_caller_of_a_whole_answer_that_leaves(node):
+    """An engine that finishes a whole answer for a caller that is gone."""
+    stub = node.stubs[0]
+    stub.words, stub.pause_s = ["palavra"] * 2_000, 0.002
+    sock = open_stream(node, stream=False)
+    wait_for(lambda: stub.sent > 10)
+    sock.close()
+    wait_for(lambda: stub.deleted)
+    assert node.bench.biller.bills[0].outcome == "cancelled"
+    node.bench.check_settled()
+
+
 def test_slow_reader_is_bounded():
     """Memory that a caller who does not read fills without end."""
     node = Node(stall_s=0.3)
