--- a/packages/amaranthlug/src/amaranthlug/protocol/chat.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/chat.py
@@ -236,15 +236,15 @@
     return "req-" + uuid.uuid4().hex
 
 
-def check_headers(headers: CallerHeaders) -> Result[None, Refusal]:
-    """Bounds the headers that become keys of tables."""
+def check_headers(headers: CallerHeaders) -> Result[int | None, Refusal]:
+    """Bounds the headers that become keys; returns when the key was issued."""
     for value in (headers.session_id, headers.idempotency_key):
         if len(value) > MAX_HEADER_CHARS:
             return bad_request(
                 "X-Session-Id or Idempotency-Key is too long",
                 f"use at most {MAX_HEADER_CHARS} characters",
             )
-    return Ok(None)
+    return issued_of(headers.key_issued_at)
 
 
 def parse_chat(
@@ -265,10 +265,7 @@
     time_left = deadline_of(headers.deadline_ms, kind.ok_value)
     if isinstance(time_left, Err):
         return time_left
-    checked = check_headers(headers)
-    if isinstance(checked, Err):
-        return checked
-    issued = issued_of(headers.key_issued_at)
+    issued = check_headers(headers)
     if isinstance(issued, Err):
         return issued
     return Ok(
--- a/packages/amaranthlug/src/amaranthlug/protocol/service_calls.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/service_calls.py
@@ -16,7 +16,6 @@
     CallerHeaders,
     authenticate,
     check_headers,
-    issued_of,
     request_id_of,
 )
 from amaranthlug.protocol.refusals import refuse
@@ -174,10 +173,7 @@
         found = authenticate(headers.authorization, catalog)
         if isinstance(found, Err):
             return found
-        checked = check_headers(headers)
-        if isinstance(checked, Err):
-            return checked
-        issued = issued_of(headers.key_issued_at)
+        issued = check_headers(headers)
         if isinstance(issued, Err):
             return issued
         organisation = found.ok_value
--- a/packages/amaranthlug/src/amaranthlug/transport/engine_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/engine_client.py
@@ -182,6 +182,14 @@
         self.response.finish(reuse=False)
 
 
+def target_of(call: EngineCall) -> tuple[str, dict[str, Any]]:
+    """Returns path and body of a new or a resumed stream."""
+    if call.resume_after is None:
+        return "/v1/chat/completions", call.body
+    path = f"/v1/streams/{call.request_id}/resume?after={call.resume_after}"
+    return path, {}
+
+
 class HttpEngine:
     """All model engines, addressed by `host:port`."""
 
@@ -195,11 +203,7 @@
     ) -> Result[HttpEngineStream, UpstreamError]:
         """Starts a streamed answer and returns it after the first bytes."""
         limit = time.monotonic() + call.first_byte_s
-        target, body = "/v1/chat/completions", call.body
-        if call.resume_after is not None:
-            target = f"/v1/streams/{call.request_id}/resume"
-            target += f"?after={call.resume_after}"
-            body = {}
+        target, body = target_of(call)
         sent = self.pools.send(
             address,
             "POST",
