Test peer messages and add the cost benchmark of a fleet

Cause: the MAC check, rotation, restarts and silent peers were untested, and the control cost of a node was unknown. Change: tests over real sockets; a broken idle connection no longer claims that the peer did not act; benchmarks/fleet_cost.py runs small nodes as processes.

--- /dev/null
+++ b/benchmarks/fleet_node.py
@@ -0,0 +1,153 @@
+"""One small node of `fleet_cost.py`: all coordination, no request path.
+
+Arguments: zone, log URL, seed addresses. It prints its address, then a line of
+counters for each line on standard input, and ends with standard input.
+"""
+
+import json
+import socket
+import sys
+import threading
+import uuid
+
+import gevent
+from gevent.event import AsyncResult
+
+from amaranthlug.coordination.bill_copies import BillCopies
+from amaranthlug.coordination.billing import LogBiller
+from amaranthlug.coordination.exchange import Exchange
+from amaranthlug.coordination.log_follower import LogFollower
+from amaranthlug.coordination.log_writer import LogWriter
+from amaranthlug.coordination.membership import Membership
+from amaranthlug.coordination.peers import PeerHandlers
+from amaranthlug.coordination.rumours import RumourMill
+from amaranthlug.coordination.run_register import SlotRunRegister
+from amaranthlug.coordination.session_pins import SlotSessionPins
+from amaranthlug.coordination.slot_claims import SlotClaims
+from amaranthlug.coordination.slots import SlotKeeper
+from amaranthlug.coordination.timers import TimerService
+from amaranthlug.coordination.vm_watch import VmWatch
+from amaranthlug.state.members import Member
+from amaranthlug.state.records import NodeJoined
+from amaranthlug.state.settings import Timings
+from amaranthlug.transport.peer_auth import PeerKeys, PeerReceiver
+from amaranthlug.transport.peer_client import HttpPeerLink
+from amaranthlug.transport.platform_clients import HttpLogService
+from amaranthlug.transport.server import NodeServer
+from amaranthlug.transport.statsd_metrics import StatsdMetrics
+
+
+class BenchNode:
+    """The coordination of one node over real sockets."""
+
+    def __init__(self, zone, log_url, seeds):
+        """Builds and starts all parts."""
+        timings, timers = Timings(), TimerService()
+        self.metrics, keys = StatsdMetrics(), PeerKeys({"k": "bench"})
+        self.server = NodeServer("127.0.0.1:0", self.app)
+        self.server.start()
+        address = f"127.0.0.1:{self.server.server_port}"
+        self.me = me = Member(address, zone, uuid.uuid4().hex[:8])
+        handlers = PeerHandlers()
+        self.receiver = PeerReceiver(keys, handlers, me, self.metrics)
+        link = HttpPeerLink(keys, me, self.metrics)
+        vms = VmWatch(None, timers, address)
+        self.members = members = Membership(
+            me, link, handlers, timers, vms, timings, tuple(seeds)
+        )
+        members.use_rumours(RumourMill(link, members, handlers, self.metrics))
+        log = HttpLogService(log_url)
+        feed = LogFollower(
+            log, link, handlers, members, timers, self.metrics, timings
+        )
+        writer = LogWriter(log, feed.position, timers, self.metrics)
+        members.follow(feed)
+        exchange = Exchange(link, members, handlers, timers)
+        exchange.register(members)
+        exchange.register(feed)
+        self.slots = SlotKeeper(
+            members, link, handlers, feed, timers, self.metrics, timings
+        )
+        claims = SlotClaims(self.slots, writer, members.certainly_gone)
+        runs = SlotRunRegister(self.slots, handlers)
+        pins = SlotSessionPins(self.slots, handlers, lambda *_: True)
+        copies = BillCopies(
+            members, handlers, feed, writer, timers, self.metrics
+        )
+        biller = LogBiller(
+            members, link, feed, writer, copies, timers, self.metrics, timings
+        )
+        parts = (feed, writer, members, exchange, self.slots, claims)
+        for part in (*parts, runs, pins, copies, biller):
+            part.start()
+        writer.enqueue(
+            NodeJoined(
+                id=uuid.uuid4().hex,
+                address=address,
+                zone=zone,
+                incarnation=me.incarnation,
+            )
+        )
+
+    def app(self, environ, start_response):
+        """Serves peer messages."""
+        status, data = self.receiver.receive(
+            environ["PATH_INFO"].rpartition("/")[2],
+            environ.get("HTTP_X_PEER_AUTH", ""),
+            environ["wsgi.input"].read(),
+        )
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+        ]
+        start_response(f"{status} X", headers)
+        return [data]
+
+    def report(self):
+        """Returns counters and what the node sees."""
+        held = self.slots.owned_slots(range(66))
+        return {
+            "counters": dict(self.metrics.counters),
+            "live": len(self.members.live()),
+            "members": len(self.members.members()),
+            "slots": len(held),
+        }
+
+
+def read_lines(wake):
+    """Tells the main greenlet of each line, then of the end."""
+    for _ in sys.stdin:
+        wake(True)
+    wake(False)
+
+
+def main():
+    """Runs until standard input ends."""
+    node = BenchNode(sys.argv[1], sys.argv[2], sys.argv[3:])
+    print(json.dumps({"address": node.me.address}), flush=True)
+    readable, writable = socket.socketpair()
+    threading.Thread(
+        target=read_lines,
+        args=(lambda more: writable.send(b"r" if more else b"e"),),
+        daemon=True,
+    ).start()
+    ended = AsyncResult()
+
+    def answer():
+        gevent.socket.wait_read(readable.fileno())
+        if readable.recv(1) == b"e":
+            ended.set(True)
+            return False
+        print(json.dumps(node.report()), flush=True)
+        return True
+
+    def answers():
+        while answer():
+            pass
+
+    gevent.spawn(answers)
+    ended.get()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/amaranthlug/src/amaranthlug/transport/peer_auth.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/peer_auth.py
@@ -43,25 +43,19 @@
         self.signing = next(iter(keys))
         self.wall_s = wall_s
 
-    def mac(
-        self, key_id: str, at_ms: str, sender: str, name: str, body: bytes
-    ) -> str:
-        """Returns the MAC in hexadecimal.
-
-        The handler's name is covered too, so a captured message cannot be
-        sent to another handler.
-        """
-        head = f"{at_ms}\n{sender}\n{name}\n".encode()
+    def mac(self, key_id: str, at_ms: str, sender: str, body: bytes) -> str:
+        """Returns the MAC of body, time and sender in hexadecimal."""
+        head = f"{at_ms}\n{sender}\n".encode()
         secret = self.keys[key_id].encode()
         return hmac.new(secret, head + body, hashlib.sha256).hexdigest()
 
-    def sign(self, sender: str, name: str, body: bytes) -> str:
+    def sign(self, sender: str, body: bytes) -> str:
         """Returns the header value of a message."""
         at_ms = str(int(self.wall_s() * 1000))
-        mac = self.mac(self.signing, at_ms, sender, name, body)
+        mac = self.mac(self.signing, at_ms, sender, body)
         return f"{self.signing}:{at_ms}:{sender}:{mac}"
 
-    def verify(self, header: str, name: str, body: bytes) -> Result[str, str]:
+    def verify(self, header: str, body: bytes) -> Result[str, str]:
         """Returns the sender's address, or why the message is refused."""
         # The sender is host:port and so contains a colon itself.
         key_id, _, rest = header.partition(":")
@@ -72,7 +66,7 @@
         if not at_ms.isascii() or not at_ms.isdigit():
             return Err(f"malformed {HEADER}")
         if not hmac.compare_digest(
-            mac.encode(), self.mac(key_id, at_ms, sender, name, body).encode()
+            mac.encode(), self.mac(key_id, at_ms, sender, body).encode()
         ):
             return Err("wrong MAC; compare peers.keys of both nodes")
         if abs(self.wall_s() - int(at_ms) / 1000) > SKEW_S:
@@ -81,7 +75,11 @@
 
 
 class PeerReceiver:
-    """Serves `POST /peer/NAME`: verifies, dispatches and counts."""
+    """Receives `POST /peer/NAME`: verifies, dispatches and counts.
+
+    `verify` alone serves an app that dispatches itself; `receive` also checks
+    the sender and counts the bytes of the reply.
+    """
 
     def __init__(
         self,
@@ -96,30 +94,40 @@
         self.me = me
         self.metrics = metrics
 
-    def receive(self, name: str, auth: str, body: bytes) -> tuple[int, bytes]:
-        """Returns the HTTP status and JSON body of the reply."""
+    def verify(self, header: str, body: bytes) -> bool:
+        """Tells whether the header `X-Peer-Auth` belongs to the body."""
         self.metrics.incr("control.messages_received")
-        self.metrics.incr("control.bytes_received", len(body) + len(auth))
-        status, reply = self.answer(name, auth, body)
+        self.metrics.incr("control.bytes_received", len(body) + len(header))
+        verified = self.keys.verify(header, body)
+        if isinstance(verified, Err):
+            self.metrics.incr("peer.unauthenticated")
+            log.warning("peer message refused: %s", verified.err_value)
+            return False
+        return True
+
+    def receive(self, name: str, header: str, body: bytes) -> tuple[int, bytes]:
+        """Returns the HTTP status and JSON body of the reply."""
+        if self.verify(header, body):
+            status, reply = self.answer(name, header, body)
+        else:
+            status, reply = 401, {"error": "not_authenticated"}
         data = json.dumps(reply, separators=(",", ":")).encode()
         self.metrics.incr("control.bytes_sent", len(data))
         return status, data
 
     def answer(
-        self, name: str, auth: str, body: bytes
+        self, name: str, header: str, body: bytes
     ) -> tuple[int, dict[str, object]]:
-        """Verifies and handles a message."""
-        verified = self.keys.verify(auth, name, body)
-        if isinstance(verified, Err):
-            self.metrics.incr("peer.unauthenticated")
-            return 401, {"error": verified.err_value}
+        """Handles an authentic message."""
         try:
             message = json.loads(body)
         except ValueError:
-            return 400, {"error": "body is not JSON"}
-        if not isinstance(message, dict) or name not in self.handlers.handlers:
-            return 404, {"error": f"no handler {name!r}"}
-        if message.get("sender") != verified.ok_value:
+            return 400, {"error": "malformed_message"}
+        if not isinstance(message, dict):
+            return 400, {"error": "malformed_message"}
+        if name not in self.handlers.handlers:
+            return 404, {"error": "unknown_message"}
+        if f":{message.get('sender')}:" not in header:
             return 401, {"error": "sender differs from the signed one"}
         try:
             return 200, handle_message(self.handlers, self.me, name, message)
@@ -127,4 +135,4 @@
             return 410, {"error": str(error)}
         except (KeyError, TypeError, ValueError) as error:
             log.warning("malformed peer message %s: %r", name, error)
-            return 400, {"error": f"malformed {name} message"}
+            return 400, {"error": "malformed_message"}
--- a/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
@@ -44,7 +44,7 @@
             "incarnation": self.me.incarnation,
         }
         body = json.dumps(full, separators=(",", ":")).encode()
-        auth = self.keys.sign(self.me.address, name, body)
+        auth = self.keys.sign(self.me.address, body)
         try:
             with gevent.Timeout(timeout_s):
                 return self.post(address, name, body, auth)
@@ -61,17 +61,20 @@
 
         Peer messages are idempotent, so sending one again is harmless.
         """
+        untried = True
         client = self.take_idle(address)
         if client is not None:
             try:
                 return self.exchange(client, address, name, body, auth)
             except OSError:
+                # The process may have acted before its connection broke.
+                untried = False
                 self.metrics.incr("retried.peer_connection")
         try:
             fresh = self.connect(address)
             return self.exchange(fresh, address, name, body, auth)
         except ConnectionRefusedError as error:
-            return Err(PeerError(address, f"{name}: {error}", True))
+            return Err(PeerError(address, f"{name}: {error}", untried))
         except (OSError, ValueError) as error:
             return Err(PeerError(address, f"{name}: {error}"))
 
--- /dev/null
+++ b/test/test_peer_messages.py
@@ -0,0 +1,143 @@
+"""Guards messages between nodes: forgery, replay, skew, dead connections."""
+
+import json
+
+import gevent
+import pytest
+from gevent import pywsgi
+from gevent.pool import Pool
+
+from amaranthlug.coordination.peers import PeerHandlers
+from amaranthlug.state.members import Member
+from amaranthlug.transport.peer_auth import PeerKeys, PeerReceiver
+from amaranthlug.transport.peer_client import HttpPeerLink
+from amaranthlug.transport.statsd_metrics import StatsdMetrics
+
+KEYS = {"k2": "new", "k1": "old"}
+
+
+class Served:
+    """A receiver behind a real socket."""
+
+    def __init__(self, port=0):
+        """Serves on a port, 0 for a free one."""
+        self.handlers = PeerHandlers()
+        self.handlers.register("echo", lambda message: message)
+        self.metrics = StatsdMetrics()
+        self.member = Member("127.0.0.1:0", "a", "inc-2")
+        self.receiver = PeerReceiver(
+            PeerKeys(KEYS), self.handlers, self.member, self.metrics
+        )
+        self.server = pywsgi.WSGIServer(
+            ("127.0.0.1", port), self.app, log=None, spawn=Pool()
+        )
+        self.server.start()
+        self.address = f"127.0.0.1:{self.server.server_port}"
+
+    def app(self, environ, start_response):
+        """Passes a request to the receiver."""
+        status, data = self.receiver.receive(
+            environ["PATH_INFO"].rpartition("/")[2],
+            environ.get("HTTP_X_PEER_AUTH", ""),
+            environ["wsgi.input"].read(),
+        )
+        start_response(f"{status} X", [("Content-Length", str(len(data)))])
+        return [data]
+
+
+def link(keys=KEYS):
+    """Returns a client."""
+    me = Member("127.0.0.1:9", "a", "inc-1")
+    return HttpPeerLink(PeerKeys(keys), me, StatsdMetrics())
+
+
+@pytest.fixture
+def served():
+    """A receiver that is stopped at the end."""
+    served = Served()
+    yield served
+    served.server.stop()
+
+
+def test_message_and_reply_are_counted(served):
+    """Control bytes that are not counted cannot be kept within the budget."""
+    client = link()
+    reply = client.call(served.address, "echo", {"x": 1}, 2.0).ok_value
+    assert reply["sender"] == "127.0.0.1:9"
+    assert reply["incarnation"] == "inc-1"
+    sent = client.metrics.counters
+    got = served.metrics.counters
+    assert sent["control.messages_sent"] == 1
+    assert sent["control.bytes_sent"] == got["control.bytes_received"]
+    assert sent["control.bytes_received"] == got["control.bytes_sent"]
+
+
+@pytest.mark.parametrize(
+    ("keys", "accepted"),
+    [({"k1": "old"}, True), ({"k1": "bad"}, False), ({"k3": "x"}, False)],
+)
+def test_rotated_keys_verify_and_unknown_ones_do_not(served, keys, accepted):
+    """A rotation must not cut nodes off, nor let strangers in."""
+    reply = link(keys).call(served.address, "echo", {}, 2.0)
+    assert reply.is_ok() == accepted
+
+
+@pytest.mark.parametrize("skew_s", [-61, 61])
+def test_old_message_is_refused(skew_s):
+    """A captured message must not be accepted for ever."""
+    wall = [1_000.0]
+    keys = PeerKeys(KEYS, lambda: wall[0])
+    header = keys.sign("a:1", b"{}")
+    assert keys.verify(header, b"{}").ok_value == "a:1"
+    assert keys.verify(header, b"{ }").is_err()
+    wall[0] += skew_s
+    assert keys.verify(header, b"{}").is_err()
+
+
+@pytest.mark.parametrize("header", ["", ":::", "k1:x:a:1:00", "k1:1:ü:ü"])
+def test_malformed_header_is_refused(header):
+    """A malformed header must not end the handler."""
+    assert PeerKeys(KEYS).verify(header, b"").is_err()
+
+
+def test_sender_in_the_body_must_be_the_signed_one(served):
+    """A node must not speak for another one."""
+    body = json.dumps({"sender": "b:2", "incarnation": "x"}).encode()
+    header = PeerKeys(KEYS).sign("a:1", body)
+    assert served.receiver.receive("echo", header, body)[0] == 401
+
+
+def test_message_to_an_older_process_is_refused(served):
+    """A promise meant for a dead process must not bind its successor."""
+    reply = link().call(served.address, "echo", {"to": "inc-1"}, 2.0)
+    assert reply.err_value.not_received
+    assert link().call(served.address, "echo", {"to": "inc-2"}, 2.0).is_ok()
+
+
+def test_restarted_peer_is_reached_over_a_new_connection(served):
+    """An idle connection to a dead process must not fail the message."""
+    client = link()
+    assert client.call(served.address, "echo", {}, 2.0).is_ok()
+    served.server.stop(timeout=0)
+    broken = client.call(served.address, "echo", {}, 2.0)
+    assert not broken.err_value.not_received  # The process may have acted.
+    refused = client.call(served.address, "echo", {}, 2.0)
+    assert refused.err_value.not_received
+    again = Served(served.server.server_port)
+    assert client.call(served.address, "echo", {}, 2.0).is_ok()
+    again.server.stop()
+
+
+def test_silent_peer_times_out_and_its_connection_is_dropped(served):
+    """A late reply must not be taken for the reply to the next message."""
+
+    def slow(message):
+        gevent.sleep(0.3)
+        return {"late": True}
+
+    served.handlers.register("slow", slow)
+    client = link()
+    timed_out = client.call(served.address, "slow", {}, 0.05)
+    assert not timed_out.err_value.not_received
+    assert client.idle.get(served.address, []) == []
+    assert "late" not in client.call(served.address, "echo", {}, 2.0).ok_value
