--- a/packages/amaranthlug/src/amaranthlug/coordination/member_messages.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/member_messages.py
@@ -1,5 +1,6 @@
 """Section of members in the exchange: compact and constant in size."""
 
+import heapq
 import math
 import random
 from typing import Any
@@ -14,6 +15,10 @@
 BEATS = 30
 """Heartbeat counters in one message."""
 
+FRESHEST = 2 * BEATS
+"""Youngest counters among which those of a message are drawn: young ones are
+news to most peers, and the draw keeps two messages from being alike."""
+
 NEWS = 6
 """Whole entries of changed members in one message."""
 
@@ -107,7 +112,8 @@
             if now - m.heard_at < BEAT_AGE_S and m.counts() and m is not self.me
         ]
         if len(fresh) > BEATS:
-            fresh = self.rng.sample(fresh, BEATS)
+            youngest = heapq.nlargest(FRESHEST, fresh, key=lambda m: m.heard_at)
+            fresh = self.rng.sample(youngest, BEATS)
         ages = [max(0, int(10 * (now - m.heard_at))) for m in fresh]
         return " ".join(
             f"{m.incarnation}:{m.heartbeat}:{age}"
--- a/packages/amaranthlug/src/amaranthlug/coordination/run_register.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/run_register.py
@@ -106,6 +106,7 @@
         digest: str,
         idempotent: bool,
         issued_ms: int | None = None,
+        wait_s: float = WAIT_S,
     ) -> Result[RunTicket, Refusal]:
         """Registers a run before dispatch.
 
@@ -117,6 +118,7 @@
             digest: Digest of the request; another one refuses the key.
             idempotent: The request may run more than once.
             issued_ms: `X-Key-Issued-At` in Unix milliseconds.
+            wait_s: Longest wait for a running request, in seconds.
         """
         slot = slot_of(scope, key)
         run_id = uuid.uuid4().hex
@@ -128,7 +130,7 @@
             "idempotent": idempotent,
             "issued_ms": issued_ms,
         }
-        until = self.keeper.timers.now() + WAIT_S
+        until = self.keeper.timers.now() + wait_s
         while True:
             reply = self.keeper.ask(slot, "run_begin", message)
             if isinstance(reply, Err):
