--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
@@ -86,7 +86,11 @@
         pending: list[tuple[str, type[StandIn], Any]] = [
             ("log", LogStandIn, dataclasses.replace(options.log, seed=seed)),
             ("vm_list", VmListStandIn, VmListConfig(seed=seed)),
-            ("rating", RatingStandIn, dataclasses.replace(options.rating, seed=seed)),
+            (
+                "rating",
+                RatingStandIn,
+                dataclasses.replace(options.rating, seed=seed),
+            ),
             ("weights", WeightsStandIn, WeightsConfig(seed=seed)),
         ]
         placeholders: dict[str, tuple[str, bool]] = {}
