--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
@@ -1,5 +1,6 @@
 """Starts and stops a whole deployment for tests, demo and experiments."""
 
+import dataclasses
 import importlib
 import json
 import pathlib
@@ -83,9 +84,13 @@
         """Starts platform services, engines and plain services."""
         seed, options = self.options.seed, self.options
         pending: list[tuple[str, type[StandIn], Any]] = [
-            ("log", LogStandIn, options.log),
+            ("log", LogStandIn, dataclasses.replace(options.log, seed=seed)),
             ("vm_list", VmListStandIn, VmListConfig(seed=seed)),
-            ("rating", RatingStandIn, options.rating),
+            (
+                "rating",
+                RatingStandIn,
+                dataclasses.replace(options.rating, seed=seed),
+            ),
             ("weights", WeightsStandIn, WeightsConfig(seed=seed)),
         ]
         placeholders: dict[str, tuple[str, bool]] = {}
@@ -257,7 +262,7 @@
         folder = pathlib.Path(self.folder.name)
         path = folder / f"{settings.name}.yaml"
         path.write_text(yaml.safe_dump(msgspec.to_builtins(settings)))
-        args = ["amaranthlug.node", "--settings", str(path)]
+        args = ["amaranthlug.daemon", "--settings", str(path)]
         child = Child.spawn(settings.name, args, folder)
         self.children.append(child)
         return RunningNode(settings, child=child)
