Keep departing upstreams ready and let a lone node leave at once

Cause: the set of departing upstreams was built for each pick of a server, and a node without peers waited for a hand-over that nobody could take. Change: the set is built once per answer of the VM list; is_named is False without live peers.

--- a/packages/amaranthlug/src/amaranthlug/coordination/membership.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/membership.py
@@ -141,7 +141,7 @@
         self.random.shuffle(serving)
         return [(m.address, m.zone) for m in sorted(serving, key=distance)]
 
-    def departing_upstreams(self) -> set[str]:
+    def departing_upstreams(self) -> frozenset[str]:
         """Returns upstream addresses that must get no new work."""
         return self.vms.departing_upstreams()
 
--- a/packages/amaranthlug/src/amaranthlug/coordination/slot_claims.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/slot_claims.py
@@ -374,8 +374,14 @@
         self.append(offsets, target.incarnation, named, True)
 
     def is_named(self) -> bool:
-        """Tells whether a lease names this node; False lets it exit."""
+        """Tells whether others still have to take over this node's leases.
+
+        A node without live peers has nobody to hand over to.
+        """
         mine = self.me.incarnation
+        live = self.keeper.members.live()
+        if not any(m is not self.me for m in live):
+            return False
         return any(
             mine in (lease.owner, *lease.successors)
             for lease in self.keeper.fold.leases.values()
--- a/packages/amaranthlug/src/amaranthlug/coordination/vm_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/vm_watch.py
@@ -1,5 +1,7 @@
 """Polls the VM list and keeps its last answer."""
 
+from collections import OrderedDict
+
 from result import Ok
 
 from amaranthlug.coordination.platform import VmEntry, VmList
@@ -9,6 +11,10 @@
 """Period of the VM list, in seconds; a departing upstream must get no new
 work after 3 s, and the list itself lags."""
 
+VANISHED_BOUND = 10_000
+"""Upstreams remembered as vanished; the oldest is forgotten beyond, years of
+failures at 25 a day."""
+
 ABSENT_S = 30.0
 """Seconds that an address must be missing before it counts as gone, since the
 list shows a new VM late."""
@@ -26,6 +32,8 @@
         self.timers = timers
         self.vms: dict[str, VmEntry] = {}
         self.absent_since: dict[str, float] = {}
+        self.vanished: OrderedDict[str, None] = OrderedDict()
+        self.departing: frozenset[str] = frozenset()
 
     def start(self) -> None:
         """Subscribes the poll to the timer service."""
@@ -41,10 +49,22 @@
             return
         before = self.vms
         self.vms = {vm.address: vm for vm in answer.ok_value}
-        for address in before.keys() - self.vms.keys():
+        for address in sorted(before.keys() - self.vms.keys()):
             self.absent_since.setdefault(address, self.timers.now())
-        for address in self.vms.keys() & self.absent_since.keys():
-            del self.absent_since[address]
+            if before[address].role != "entry":
+                self.vanished[address] = None
+        for address in self.vms:
+            self.absent_since.pop(address, None)
+            self.vanished.pop(address, None)
+        while len(self.vanished) > VANISHED_BOUND:
+            self.vanished.popitem(last=False)
+        # A VM that vanished from the list gets no new work at once: another
+        # upstream serves, whereas a wrong guess about a node costs leases.
+        self.departing = frozenset(self.vanished) | {
+            vm.address
+            for vm in self.vms.values()
+            if vm.role != "entry" and vm.state != "live"
+        }
 
     def is_gone(self, address: str) -> bool:
         """Tells whether the list shows a VM gone.
@@ -74,13 +94,6 @@
             if vm.role == "entry" and vm.state == "live"
         ]
 
-    def departing_upstreams(self) -> set[str]:
+    def departing_upstreams(self) -> frozenset[str]:
         """Returns addresses of upstream VMs that leave or are gone."""
-        departing = {
-            vm.address
-            for vm in self.vms.values()
-            if vm.role != "entry" and vm.state != "live"
-        }
-        # A VM that vanished from the list gets no new work at once: another
-        # upstream serves, whereas a wrong guess about a node costs leases.
-        return departing | self.absent_since.keys()
+        return self.departing
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -106,7 +106,12 @@
     fleet.run(3)
     fleet.vm_list.outage = True
     fleet.run(5)
-    assert fleet.nodes["n0"].membership.departing_upstreams() == {"e1"}
+    node = fleet.nodes["n0"]
+    assert node.membership.departing_upstreams() == {"e1"}
+    fleet.vm_list.outage = False
+    fleet.vm_list.vms = []
+    fleet.run(3)
+    assert node.membership.departing_upstreams() == {"e1", "e2"}
 
 
 def test_message_size_does_not_grow_with_members():
