Use msgspec for the JSON of stand-ins and slower steps in the demo

Cause: The demo runs 15 nodes and 22 upstreams on one core. Change: Stand-ins encode with msgspec; demo engines step every 8 ms.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/demo.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/demo.py
@@ -6,6 +6,7 @@
 
 from amaranthlug.state.catalog import MICRO_UNITS
 from amaranthlug.state.settings import Timings
+from amaranthlug_standins.batch import Pace
 from amaranthlug_standins.counts import Counts
 from amaranthlug_standins.deployments import both
 from amaranthlug_standins.fleet import Fleet
@@ -28,6 +29,10 @@
 """One process polls for 15 nodes, so that each polls half as often."""
 
 
+PACE = Pace(step_ms=8.0, tick_ms=8.0)
+"""Decode steps of all engines share one processor core here."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Row:
     """Result of one deployment."""
@@ -95,7 +100,9 @@
 
 def run(seed: int, progress: Progress) -> DemoResult:
     """Runs the demo."""
-    options = FleetOptions(seed=seed, processes=False, timings=TIMINGS)
+    options = FleetOptions(
+        seed=seed, processes=False, timings=TIMINGS, pace=PACE
+    )
     fleets = [Fleet(deployment, options) for deployment in both()]
     start_fleets(fleets)
     try:
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/standin.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/standin.py
@@ -16,6 +16,7 @@
 import gevent
 import gevent.event
 import msgspec
+from falcon.media import JSONHandler
 from gevent import pywsgi
 
 LOOPBACK = "127.0.0.1"
@@ -100,6 +101,10 @@
         self.address = ""
         self.control_address = ""
         self.app = falcon.App(middleware=[Gate(self)])
+        # Nodes poll often; the default encoder took most of a stand-in's time.
+        handler = JSONHandler(msgspec.json.encode, msgspec.json.decode)
+        for options in (self.app.req_options, self.app.resp_options):
+            options.media_handlers[falcon.MEDIA_JSON] = handler
         self.app.add_route("/fault", FaultRoute(self))
         self.app.add_route("/seen", SeenRoute(self))
         self.add_routes()
