--- a/packages/amaranthlug/src/amaranthlug/parts_fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/parts_fleet.py
@@ -101,6 +101,8 @@
             metrics,
             timings.confirm_limit_s,
         )
+        follower.snapshot_sources.append(config.snapshot)
+        follower.incomplete = config.is_incomplete
         slots = SlotKeeper(
             members, link, handlers, follower, timers, metrics, timings
         )
