Choose by the mix of a kind; measure the policy offline

Cause: a kind's target holds for the kind as a whole, so meeting it for easy and hard requests apart costs more than needed; a fixed exploration of 5% learned slowly; a cold ranking took over 1 ms of the request path. Change: options of both difficulties are paired by the lower bound of their mix; exploration is paid by the surplus of quality; ratings of other kinds count as a prior of at most 20 ratings; rankings are refreshed by a timer; a version without good ratings starts with 3 unrated requests over all nodes. benchmarks/policy.py compares with baselines and an oracle.

--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,338 @@
+"""Measures the policy offline: cost, targets, exposure, false withdrawals.
+
+Run `python benchmarks/policy.py --part PART [--seeds N] [--seconds S]
+[--runs R]`; without `--part` all parts run, which takes about ten minutes.
+"""
+
+import dataclasses
+import heapq
+import random
+import statistics
+import time
+from collections import defaultdict
+from collections.abc import Callable
+
+import click
+from policy_baselines import (
+    Outcome,
+    best_pairs,
+    fixed_cascade,
+    print_rows,
+    step_cost,
+)
+from policy_world import (
+    COUNSEL,
+    NEXT,
+    QUALITY,
+    SCRIBE,
+    SERVERS,
+    SWIFT,
+    Clock,
+    Drawn,
+    RatingSim,
+    SimNode,
+    Truth,
+    View,
+    catalog_of,
+    draw,
+    gossip,
+    start_rollout,
+)
+
+from amaranthlug.state.catalog import Rollout, RolloutStage, VersionId
+from amaranthlug.state.evidence import Cell
+
+OLD = (SWIFT, SCRIBE, COUNSEL)
+WARM_UP_S = 600.0
+"""Time after which targets and cost are measured, at 40 requests/s; 5 kinds,
+2 difficulties and 3 versions make 30 cells to learn."""
+STAGES = (
+    RolloutStage(0.05, 20, 8),
+    RolloutStage(0.25, 60, 32),
+    RolloutStage(1.0, 0, 2000),
+)
+"""Stages of the sample folder `hengyun`."""
+ROLLOUT = Rollout("swift-4", "swift", "3", "4", STAGES)
+
+Ran = Callable[[Drawn, VersionId], None]
+
+
+class Fleet:
+    """Nodes that serve a stream in simulated time."""
+
+    def __init__(
+        self,
+        count: int,
+        view: View,
+        seed: int,
+        pooled: bool = True,
+        delay_s: float = 0.5,
+        rated: float = 0.5,
+        watch_every: int = 1,
+    ):
+        """Creates nodes.
+
+        Args:
+            count: Number of nodes.
+            view: Configuration of all nodes.
+            seed: Seed of everything random.
+            pooled: Nodes exchange evidence.
+            delay_s: Mean delay of ratings, in seconds.
+            rated: Share of answers that is rated.
+            watch_every: Half seconds between tests of versions; longer where
+                only cost is measured, as the tests take most of the time.
+        """
+        self.clock, self.view = Clock(), view
+        self.ratings = RatingSim(self.clock, seed, delay_s, rated)
+        self.nodes = [
+            SimNode(i, count, view, self.ratings, self.clock, seed)
+            for i in range(count)
+        ]
+        self.random = random.Random(seed)
+        self.pooled = pooled
+        self.watch_every = watch_every
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.order = 0
+
+    def later(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Calls something later in simulated time."""
+        self.order += 1
+        due = self.clock() + delay_s
+        heapq.heappush(self.events, (due, self.order, call))
+
+    def run(self, stream: list[Drawn], ran: Ran) -> dict[int, Outcome]:
+        """Serves a stream; `ran` is told of each step that starts."""
+        self.outcomes: dict[int, Outcome] = {}
+        self.ran = ran
+        self.tick(0)
+        for drawn in stream:
+            self.until(drawn.at)
+            self.serve(drawn)
+        self.until(self.clock() + 5)
+        return self.outcomes
+
+    def until(self, at: float) -> None:
+        """Runs what is due until a time."""
+        while self.events and self.events[0][0] <= at:
+            due, _, call = heapq.heappop(self.events)
+            self.clock.time = due
+            call()
+        self.clock.time = at
+
+    def tick(self, number: int) -> None:
+        """Runs the timers of all nodes."""
+        for node in self.nodes:
+            node.tick(watch=number % self.watch_every == 0)
+        if self.pooled and number % 2 and len(self.nodes) > 1:
+            gossip(self.nodes, self.random)
+        self.later(0.5, lambda: self.tick(number + 1))
+
+    def serve(self, drawn: Drawn) -> None:
+        """Chooses and starts a request on a random node."""
+        node = self.random.choice(self.nodes)
+        request = node.request(drawn)
+        plan = node.chooser.choose(request, None).unwrap()
+        outcome = self.outcomes[drawn.number] = Outcome(drawn, 0, False)
+        steps = list(plan.steps)
+
+        def start() -> None:
+            step = steps.pop(0)
+            outcome.cost += step_cost(drawn, step.version)
+            node.chooser.started(request, step.version)
+            self.ran(drawn, step.version)
+            self.later(self.random.uniform(0.3, 1.2), lambda: end(step))
+
+        def end(step) -> None:
+            good = drawn.good[step.version]
+            passes = drawn.passes[step.version]
+            text = f"{'good' if good else 'bad'} {'passes' if passes else ''}"
+            server = self.random.choice(SERVERS)
+            node.chooser.finished(
+                request, step.version, server, "complete", text
+            )
+            if step.check and not passes and steps:
+                start()
+            else:
+                outcome.good = good
+
+        start()
+
+
+def nothing(drawn: Drawn, version: VersionId) -> None:
+    """Ignores a start."""
+
+
+def compare_cost(seed: int, seconds: float, truth: Truth) -> None:
+    """Prints cost and targets of all policies on one stream."""
+    stream = draw(truth, seed, 40.0, seconds)
+    rng = random.Random(seed)
+    fleet = Fleet(8, View(catalog_of(OLD)), seed, watch_every=10)
+    begun = time.process_time()
+    served = fleet.run(stream, nothing)
+    spent = (time.process_time() - begun) / len(stream) * 1e3
+    oracle = best_pairs(truth)
+    rows = {
+        "policy": list(served.values()),
+        "best": [fixed_cascade(d, (COUNSEL,)) for d in stream],
+        "cheapest": [fixed_cascade(d, (SWIFT,)) for d in stream],
+        "cascade": [fixed_cascade(d, (SWIFT, COUNSEL)) for d in stream],
+        "random": [fixed_cascade(d, (rng.choice(OLD),)) for d in stream],
+        "oracle": [
+            fixed_cascade(d, oracle[d.kind.name, d.hard]) for d in stream
+        ],
+    }
+    print(f"  seed {seed}, {len(stream)} requests, {spent:.2f} ms each")
+    print_rows(rows, WARM_UP_S)
+
+
+def exposure(seed: int, pooled: bool, bad: float) -> tuple[int, float]:
+    """Returns callers of a version bad from its start, and its lifetime."""
+    truth = Truth(QUALITY | {NEXT: (bad, bad)})
+    view = View(catalog_of((*OLD, NEXT), ROLLOUT))
+    fleet = Fleet(8, view, seed, pooled)
+    reached: set[int] = set()
+    life = [0.0]
+
+    def ran(drawn: Drawn, version: VersionId) -> None:
+        if version == NEXT:
+            reached.add(drawn.number)
+            life[0] = drawn.at - start
+
+    warm, start = draw(truth, seed, 160.0, 60.0), 60.0
+    fleet.run(warm, ran)
+    start_rollout(fleet.nodes, ROLLOUT)
+    rest = draw(truth, seed + 1, 160.0, 120.0)
+    offset = fleet.clock()
+    start = offset
+    moved = [
+        dataclasses.replace(d, at=d.at + offset, number=d.number + 10**6)
+        for d in rest
+    ]
+    fleet.events.clear()
+    fleet.run(moved, ran)
+    return len(reached), life[0] if NEXT in view.withdrawn else float("inf")
+
+
+def fixed_canary(seed: int, bad: float) -> int:
+    """Returns callers of the same version under a fixed share of 5%.
+
+    Its threshold on errors never fires, because bad answers are no errors.
+    """
+    truth = Truth(QUALITY | {NEXT: (bad, bad)})
+    rng = random.Random(seed)
+    easy_kinds = {"station-log", "make-good", "order-question", "copy-note"}
+    return sum(
+        rng.random() < STAGES[0].share
+        for d in draw(truth, seed + 1, 160.0, 120.0)
+        if d.kind.name in easy_kinds
+    )
+
+
+def false_withdrawal(seed: int, ratings: int, proven: bool) -> bool:
+    """Tells whether a good version is withdrawn within `ratings`.
+
+    Half of the runs have a new version, as good as the one it replaces; the
+    other half a proven version that stays as it is.
+    """
+    rng = random.Random(seed)
+    view = View(catalog_of((*OLD, NEXT), ROLLOUT))
+    node = Fleet(1, view, seed).nodes[0]
+    start_rollout([node], ROLLOUT)
+
+    def rate(version: VersionId) -> None:
+        hard = rng.random() < 0.3
+        good = rng.random() < QUALITY[SWIFT][hard]
+        word = "good" if good else "bad"
+        rows = (
+            Cell(str(version), "station-log", hard),
+            Cell(str(version), server=rng.choice(SERVERS)),
+        )
+        for cell in rows:
+            node.evidence.count(cell, complete=1, **{word: 1})
+
+    for _ in range(500):
+        rate(SWIFT)
+    node.watch.check()
+    for number in range(ratings):
+        rate(SWIFT if proven else NEXT)
+        if number % 5 == 0:
+            node.watch.check()
+    return bool(view.withdrawn)
+
+
+def learning(seed: int, count: int, pooled: bool) -> float:
+    """Returns seconds until the cost stays within 1.1 of the oracle's."""
+    truth = Truth({v: QUALITY[v] for v in OLD})
+    stream = draw(truth, seed, 5.0 * count, 600.0)
+    fleet = Fleet(count, View(catalog_of(OLD)), seed, pooled, watch_every=10)
+    served = fleet.run(stream, nothing)
+    oracle = best_pairs(truth)
+    spent: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
+    for d in stream:
+        ours = spent[int(d.at // 20)]
+        ours[0] += served[d.number].cost
+        ours[1] += fixed_cascade(d, oracle[d.kind.name, d.hard]).cost
+    late = [w for w, (cost, ideal) in spent.items() if cost > 1.1 * ideal]
+    return 20.0 * (max(late, default=-1) + 1)
+
+
+def measure_cost(seeds: int, seconds: float) -> None:
+    """Prints cost and targets with a useful and a useless check."""
+    for found in (0.6, 0.0):
+        print(f"cost and targets, check finds {found:.0%} of bad answers")
+        for seed in range(seeds):
+            truth = Truth({v: QUALITY[v] for v in OLD}, found)
+            compare_cost(seed, seconds, truth)
+
+
+def measure_exposure(seeds: int) -> None:
+    """Prints how many callers a bad new version reaches."""
+    for bad in (0.0, 0.2, 0.5):
+        print(f"callers of a new version with quality {bad}, 8 nodes")
+        for pooled in (True, False):
+            pairs = [exposure(s, pooled, bad) for s in range(seeds)]
+            print(
+                f"  pooled={pooled}: callers {[pair[0] for pair in pairs]},"
+                f" seconds {[round(pair[1], 1) for pair in pairs]}"
+            )
+        fixed = [fixed_canary(s, bad) for s in range(seeds)]
+        print(f"  fixed 5% canary with error threshold: {fixed} in 120 s")
+
+
+def measure_false(runs: int) -> None:
+    """Prints how often good versions are withdrawn."""
+    for proven in (False, True):
+        false = sum(false_withdrawal(s, 2000, proven) for s in range(runs))
+        print(f"false withdrawals, proven={proven}: {false} of {runs} runs")
+
+
+def measure_learning(seeds: int) -> None:
+    """Prints how fast one and eight nodes learn."""
+    for count, pooled in ((1, True), (8, False), (8, True)):
+        times = [learning(s, count, pooled) for s in range(seeds)]
+        print(
+            f"learning, {count} nodes, pooled={pooled}: within 1.1 of the"
+            f" oracle after {times} s, median {statistics.median(times)} s"
+        )
+
+
+@click.command()
+@click.option("--part", default="", help="cost, exposure, false or learning.")
+@click.option("--seeds", default=3, help="Seeds of each comparison.")
+@click.option("--seconds", default=1500.0, help="Simulated time of a stream.")
+@click.option("--runs", default=200, help="Runs for false withdrawals.")
+def main(part: str, seeds: int, seconds: float, runs: int) -> None:
+    """Prints the figures of the policy."""
+    parts = {
+        "cost": lambda: measure_cost(seeds, seconds),
+        "exposure": lambda: measure_exposure(seeds),
+        "false": lambda: measure_false(runs),
+        "learning": lambda: measure_learning(seeds),
+    }
+    for name, measure in parts.items():
+        if part in {"", name}:
+            measure()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/amaranthlug/src/amaranthlug/protocol/plan_ranking.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/plan_ranking.py
@@ -1,6 +1,7 @@
 """Ranks the plans of a request by expected cost and quality."""
 
 import dataclasses
+import math
 
 from amaranthlug.protocol.cascade import Step, expected
 from amaranthlug.protocol.services import PlanStep
@@ -16,6 +17,12 @@
 SEEN_OFTEN = 20
 """Requests after which a difficulty counts as occurring in a kind."""
 
+WELL_KNOWN = 0.04
+"""Error of an option's quality below which exploring it tells nothing new."""
+
+MAX_FRONTIER = 8
+"""Options of the other difficulty that each one is paired with."""
+
 MAX_DEAR = 4
 """Second steps tried for each first one, which bounds the time taken."""
 
@@ -42,11 +49,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Ranking:
-    """Options in order of preference, and cheaper ones worth exploring."""
+    """Options in order of preference, and cheaper ones worth exploring.
+
+    Attributes:
+        surplus: Expected quality of the first option above the target.
+    """
 
     options: tuple[Option, ...]
     unknown: tuple[Option, ...]
-    direct: tuple[Option, ...]
+    surplus: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,8 +66,8 @@
 
     Attributes:
         hard: The request looks hard.
-        session: The version is kept for a session, so it must meet the
-            target for both difficulties and cannot be a cascade.
+        session: The version is kept for a session, so it serves both
+            difficulties and cannot be a cascade.
         target: Quality target with the margin in force.
         prompt_tokens: Length of the prompt.
     """
@@ -68,42 +79,150 @@
     prompt_tokens: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Mix:
+    """Cost and quality of a kind whose two difficulties run on two options.
+
+    The target holds for the kind as a whole, so a surplus of easy requests
+    may make up for hard ones.
+    """
+
+    cost: float
+    lower: float
+    mean: float
+
+
+def mix(one: Option, other: Option, share: float) -> Mix:
+    """Returns the mix of `share` of one option and the rest of the other.
+
+    The errors of the two are independent, so their squares add up.
+    """
+    rest = 1 - share
+    mean = share * one.mean + rest * other.mean
+    error = math.hypot(
+        share * (one.mean - one.lower), rest * (other.mean - other.lower)
+    )
+    cost = share * one.cost + rest * other.cost
+    return Mix(cost, mean - error, mean)
+
+
+def share_of_difficulty(
+    evidence: Evidence, labels: list[str], kind: str, hard: bool
+) -> float:
+    """Returns the share of a kind's requests that have this difficulty."""
+    counts = {
+        side: sum(
+            evidence.pooled(Cell(label, kind, side)).started for label in labels
+        )
+        for side in (True, False)
+    }
+    total = counts[True] + counts[False]
+    if total < SEEN_OFTEN or not counts[hard]:
+        return 1.0
+    return counts[hard] / total
+
+
 def rank(
     evidence: Evidence, versions: list[tuple[Version, str]], ask: Question
 ) -> Ranking:
     """Ranks direct use and cascades of versions with their labels."""
-    known = [_direct(evidence, v, label, ask) for v, label in versions]
-    known.sort(key=lambda pair: pair[0].cost)
-    direct = [option for option, _ in known]
-    options = list(direct)
-    if not ask.session:
-        options += _cascades(evidence, known, ask.target)
-    safe = [o for o in options if o.lower >= ask.target]
-    safe.sort(key=lambda o: o.cost)
-    likely = [o for o in options if o.lower < ask.target <= o.mean]
-    likely.sort(key=lambda o: -o.lower)
+    labels = [label for _, label in versions]
+    share = share_of_difficulty(evidence, labels, ask.kind.name, ask.hard)
+    own = _options(evidence, versions, ask, ask.hard)
+    others = _options(evidence, versions, ask, not ask.hard)
+    if share == 1.0:
+        pairs = [(o, [o]) for o in own]
+    elif ask.session:
+        pairs = [(o, [p]) for o, p in zip(own, others, strict=True)]
+    else:
+        frontier = _frontier(others)
+        pairs = [(o, frontier) for o in own]
+    return _order(
+        [(o, _best(o, ps, share, ask.target)) for o, ps in pairs],
+        [o for o in own if len(o.steps) == 1],
+        others,
+        share,
+        ask.target,
+    )
+
+
+def _best(
+    option: Option, partners: list[Option], share: float, target: float
+) -> Mix:
+    """Returns the cheapest mix that is safe, else likely, else the best."""
+    mixes = [mix(option, partner, share) for partner in partners]
+    safe = [m for m in mixes if m.lower >= target]
+    if safe:
+        return min(safe, key=lambda m: m.cost)
+    return max(mixes, key=lambda m: (m.mean >= target, m.lower))
+
+
+def _order(
+    pairs: list[tuple[Option, Mix]],
+    direct: list[Option],
+    others: list[Option],
+    share: float,
+    target: float,
+) -> Ranking:
+    safe = [pair for pair in pairs if pair[1].lower >= target]
+    safe.sort(key=lambda pair: pair[1].cost)
+    likely = [p for p in pairs if p[1].lower < target <= p[1].mean]
+    likely.sort(key=lambda pair: -pair[1].lower)
     if not safe and not likely:
-        likely = sorted(options, key=lambda o: -o.mean)
-    order = tuple(safe + likely)
+        likely = sorted(pairs, key=lambda pair: -pair[1].mean)
+    order = tuple(option for option, _ in safe + likely)
+    if not order:
+        return Ranking((), ())
+    best = max(o.mean for o in others)
     unknown = tuple(
         o
         for o in direct
-        if order and o.cost < order[0].cost and o.lower < ask.target <= o.upper
+        if o.cost < order[0].cost
+        and o.mean - o.lower > WELL_KNOWN
+        and share * o.upper + (1 - share) * best >= target
     )
-    return Ranking(order, unknown, tuple(direct))
+    chosen = next(m for option, m in pairs if option is order[0])
+    return Ranking(order, unknown, chosen.mean - target)
+
+
+def _frontier(options: list[Option]) -> list[Option]:
+    """Returns options that no other beats in cost and quality."""
+    found: list[Option] = []
+    for option in sorted(options, key=lambda o: (o.cost, -o.lower)):
+        if (
+            not found
+            or option.lower > found[-1].lower
+            or (option.mean > max(o.mean for o in found))
+        ):
+            found.append(option)
+    return found[:MAX_FRONTIER]
+
+
+def _options(
+    evidence: Evidence,
+    versions: list[tuple[Version, str]],
+    ask: Question,
+    hard: bool,
+) -> list[Option]:
+    known = [_direct(evidence, v, label, ask, hard) for v, label in versions]
+    options = [option for option, _ in known]
+    if not ask.session:
+        known.sort(key=lambda pair: pair[0].cost)
+        options += _cascades(evidence, known)
+    return options
 
 
 def _direct(
-    evidence: Evidence, version: Version, label: str, ask: Question
+    evidence: Evidence,
+    version: Version,
+    label: str,
+    ask: Question,
+    hard: bool,
 ) -> tuple[Option, Step]:
     kind = ask.kind
-    cell = Cell(label, kind.name, ask.hard)
+    cell = Cell(label, kind.name, hard)
     prior = version.prior_quality
     bounds = evidence.bounds(cell, prior)
-    other = Cell(label, kind.name, not ask.hard)
-    if ask.session and evidence.pooled(other).started >= SEEN_OFTEN:
-        second = evidence.bounds(other, prior)
-        bounds = min(bounds, second, key=lambda b: b.lower)
     output = int(kind.max_output_tokens * OUTPUT_SHARE)
     cost = float(version.cost(ask.prompt_tokens, output))
     step = Step(cell, prior, cost, bounds)
@@ -120,18 +239,17 @@
 
 
 def _cascades(
-    evidence: Evidence, known: list[tuple[Option, Step]], target: float
+    evidence: Evidence, known: list[tuple[Option, Step]]
 ) -> list[Option]:
     """Returns cascades that cost less than their second step alone."""
     found = []
-    dear_ones = [pair for pair in known if pair[0].lower >= target][:MAX_DEAR]
-    for cheap_option, cheap in known:
-        for dear_option, dear in dear_ones:
-            if dear.cost <= cheap.cost or cheap_option.lower >= target:
-                continue
+    for index, (cheap_option, cheap) in enumerate(known):
+        for dear_option, dear in known[index + 1 :][:MAX_DEAR]:
             both = expected(evidence, cheap, dear)
             if both is None or both.cost >= WORTH * dear.cost:
                 continue
+            if both.lower <= cheap_option.lower:
+                continue
             first = PlanStep(cheap_option.steps[0].version, check=True)
             found.append(
                 Option(
--- a/packages/amaranthlug/src/amaranthlug/protocol/unproven_quota.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/unproven_quota.py
@@ -11,7 +11,11 @@
 DEFAULT_MAX_UNRATED = 8
 """Bound over all nodes for a version that is not in a roll-out."""
 
-SUSPICIOUS = 0.3
+FIRST_UNRATED = 3
+"""Requests to a version without any good rating, over all nodes; each good
+rating allows one more, up to the stage's bound."""
+
+SUSPICIOUS = 0.2
 """Part of the limit of the withdrawal test from which on only one request at
 a time goes to the version, over all nodes."""
 
@@ -35,6 +39,8 @@
         """Returns this node's quota, by rendezvous order of `name`."""
         if self.watch.suspicion(version) > SUSPICIOUS:
             max_unrated = min(1, max_unrated)
+        rated = self.watch.evidence.by_version(self.watch.label(version))
+        max_unrated = min(max_unrated, FIRST_UNRATED + rated.good)
         live = [member.incarnation for member in self.members.live()]
         each, extra = divmod(max_unrated, max(1, len(live)))
         mine = self.members.me.incarnation
--- a/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
@@ -2,15 +2,16 @@
 
 import dataclasses
 import random
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import Protocol
 
+import gevent
 import xxhash
 from result import Err, Ok, Result
 
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.coordination.rating_pump import RatingPump
+from amaranthlug.coordination.timers import TimerService
 from amaranthlug.coordination.withdrawal_watch import WithdrawalWatch
 from amaranthlug.protocol.cascade import (
     AnswerCheck,
@@ -41,15 +42,25 @@
 from amaranthlug.state.refusal import Refusal
 from amaranthlug.state.rollouts import RolloutFold, new_version, old_version
 
-EXPLORE_SHARE = 0.05
-"""Exploration budget: share of a kind's requests that may go to a cheaper
-version whose quality is not known well enough."""
+EXPLORE_SHARE = 0.02
+"""Least exploration budget: share of a kind's requests that may go to a
+cheaper version whose quality is not known well enough."""
+
+MAX_EXPLORE_SHARE = 0.25
+
+EXPLORE_SURPLUS = 1.0
+"""Exploration per surplus of quality. Explored answers are good more often
+than not, so a surplus pays for at least as many explorations."""
 
 EXPLORE_BURST = 5.0
 """Explorations that a kind can save up."""
 
-RANKING_S = 0.25
-"""Age at which a ranking is computed anew, in seconds."""
+RANKING_S = 5.0
+"""Age at which a ranking is not used any more, in seconds; the timer computes
+those in use anew well before."""
+
+REFRESH_S = 0.5
+"""Period of computing rankings anew, outside of the request path."""
 
 MAX_RANKINGS = 2_000
 """Rankings kept; all are dropped beyond it."""
@@ -80,6 +91,17 @@
     hard: bool
 
 
+@dataclasses.dataclass
+class Ranked:
+    """A ranking with what it was computed from."""
+
+    at: float
+    used_at: float
+    ranking: Ranking
+    candidates: list[Version]
+    ask: Question
+
+
 class CostQualityChooser:
     """The `VersionChooser` that weighs cost, quality and roll-outs."""
 
@@ -133,9 +155,7 @@
             evidence, ratings, watch, quota, now, check, completed
         )
         self.budgets: dict[str, float] = {}
-        self.rankings: OrderedDict[
-            tuple[object, ...], tuple[float, Ranking]
-        ] = OrderedDict()
+        self.rankings: dict[tuple[object, ...], Ranked] = {}
         self.ranked_for: Catalog | None = None
 
     def choose(
@@ -222,22 +242,47 @@
         request = case.request
         kind, session = request.kind, bool(request.session_id)
         ids = tuple(version.id for version in candidates)
-        size = request.prompt_tokens.bit_length()
+        size = request.prompt_tokens.bit_length() // 2
         key = (ids, kind.name, case.hard, session, size)
-        now = self.now()
         cached = self.rankings.get(key)
-        if cached and now - cached[0] < RANKING_S:
-            return cached[1]
-        target = min(1.0, kind.quality_target + self.windows.margin(kind))
+        if cached and self.now() - cached.at < RANKING_S:
+            cached.used_at = self.now()
+            return cached.ranking
+        if len(self.rankings) >= MAX_RANKINGS:
+            self.rankings.clear()
         question = Question(
-            kind, case.hard, session, target, request.prompt_tokens
+            kind, case.hard, session, 0.0, request.prompt_tokens
         )
+        ranked = self._rank(candidates, question)
+        self.rankings[key] = ranked
+        return ranked.ranking
+
+    def _rank(self, candidates: list[Version], ask: Question) -> "Ranked":
+        margin = self.windows.margin(ask.kind)
+        target = min(1.0, ask.kind.quality_target + margin)
+        ask = dataclasses.replace(ask, target=target)
         labelled = [(v, self.watch.label(v.id)) for v in candidates]
-        ranking = rank(self.evidence, labelled, question)
-        if len(self.rankings) >= MAX_RANKINGS:
-            self.rankings.clear()
-        self.rankings[key] = (now, ranking)
-        return ranking
+        ranking = rank(self.evidence, labelled, ask)
+        now = self.now()
+        return Ranked(now, now, ranking, candidates, ask)
+
+    def start(self, timers: TimerService) -> None:
+        """Computes rankings anew periodically."""
+        timers.every("rankings", REFRESH_S, self.refresh)
+
+    def refresh(self) -> None:
+        """Computes the rankings in use anew and drops the others."""
+        catalog = self.ranked_for
+        for key, ranked in list(self.rankings.items()):
+            if self.ranked_for is not catalog:
+                return
+            if self.now() - ranked.used_at > RANKING_S:
+                self.rankings.pop(key, None)
+                continue
+            fresh = self._rank(ranked.candidates, ranked.ask)
+            fresh.used_at = ranked.used_at
+            self.rankings[key] = fresh
+            gevent.sleep(0)
 
     def _select(
         self, case: Case, candidates: list[Version]
@@ -316,12 +361,16 @@
         """Returns a cheaper option of uncertain quality within the budget."""
         request = case.request
         kind = request.kind
-        budget = self.budgets.get(kind.name, 0.0) + EXPLORE_SHARE
+        ranking = self._ranking(case, candidates)
+        share = min(MAX_EXPLORE_SHARE, EXPLORE_SURPLUS * ranking.surplus)
+        budget = self.budgets.get(kind.name, 0.0)
+        budget += max(EXPLORE_SHARE, share)
         self.budgets[kind.name] = min(EXPLORE_BURST, budget)
         if budget < 1 or request.session_id or self.ratings.out():
             return None
-        unknown = self._ranking(case, candidates).unknown
-        unknown = tuple(o for o in unknown if self._may_explore(case, o))
+        unknown = tuple(
+            o for o in ranking.unknown if self._may_explore(case, o)
+        )
         if not unknown:
             return None
         self.budgets[kind.name] -= 1
--- a/packages/amaranthlug/src/amaranthlug/state/evidence.py
+++ b/packages/amaranthlug/src/amaranthlug/state/evidence.py
@@ -21,6 +21,10 @@
 PRIOR_WEIGHT = 4.0
 """Ratings that the prior of the catalogue is worth."""
 
+SHARED_WEIGHT = 20.0
+"""Ratings that a version's other kinds of the same difficulty are worth; few
+enough that some dozen ratings of the kind itself prevail where kinds differ."""
+
 Z_LOWER = 1.64
 """One-sided 95% quantile of the normal distribution."""
 
@@ -173,11 +177,12 @@
         self.versions: dict[str, Tally] = {}
         self.servers: dict[str, dict[str, Tally]] = {}
         self.estimates: dict[Cell, Estimate] = {}
+        self.sides: dict[Cell, Estimate] = {}
         self.generation = 0
         self.trust = 1.0
         self.dropped = 0
         self._bounds: dict[
-            tuple[Cell, bool, float], tuple[float, float, float, Bounds]
+            tuple[Cell, bool], tuple[tuple[float, ...], Bounds]
         ] = {}
 
     def count(self, cell: Cell, **amounts: int) -> None:
@@ -238,6 +243,9 @@
                     setattr(pooled, name, getattr(pooled, name) + amount)
         if grown.good or grown.bad:
             self.estimates.setdefault(cell, Estimate()).add(grown)
+            if cell.kind and cell.version:
+                side = Cell(cell.version, hard=cell.hard)
+                self.sides.setdefault(side, Estimate()).add(grown)
             self.generation += 1
 
     def pooled(self, cell: Cell) -> Tally:
@@ -261,16 +269,34 @@
             good, bad = estimate.pass_good, estimate.pass_bad
         else:
             good, bad = estimate.good, estimate.bad
-        key = (cell, passed_only, prior)
+        weight = PRIOR_WEIGHT
+        if not passed_only:
+            prior, weight = self._shared_prior(cell, prior)
+        key, used = (cell, passed_only), (good, bad, self.trust, prior, weight)
         cached = self._bounds.get(key)
-        if cached and cached[:3] == (good, bad, self.trust):
-            return cached[3]
-        bounds = beta_bounds(good * self.trust, bad * self.trust, prior)
+        if cached and cached[0] == used:
+            return cached[1]
+        bounds = beta_bounds(good * self.trust, bad * self.trust, prior, weight)
         if len(self._bounds) > MAX_CELLS:
             self._bounds.clear()
-        self._bounds[key] = (good, bad, self.trust, bounds)
+        self._bounds[key] = (used, bounds)
         return bounds
 
+    def _shared_prior(self, cell: Cell, prior: float) -> tuple[float, float]:
+        """Returns the prior and its weight with what other kinds showed."""
+        side = self.sides.get(Cell(cell.version, hard=cell.hard))
+        if side is None or not cell.kind:
+            return prior, PRIOR_WEIGHT
+        own = self.estimates.get(cell) or Estimate()
+        good = max(0.0, side.good - own.good)
+        others = good + max(0.0, side.bad - own.bad)
+        if others <= 0:
+            return prior, PRIOR_WEIGHT
+        weight = min(SHARED_WEIGHT, others) * self.trust
+        share = good / others
+        total = PRIOR_WEIGHT + weight
+        return (prior * PRIOR_WEIGHT + share * weight) / total, total
+
     def by_version(self, version: str) -> Tally:
         """Returns the sum of a version over kinds and difficulties."""
         return self.versions.get(version) or Tally()
--- a/test/_policy.py
+++ b/test/_policy.py
@@ -220,6 +220,7 @@
         cell = Cell(str(version_id(name)), kind, False)
         self.evidence.count(cell, good=good, bad=bad, **counts)
         self.clock.time += 1
+        self.chooser.refresh()
 
     def choose(self, pinned=None, **changes):
         """Returns the plan or refusal of a new request."""
