--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -7,7 +7,6 @@
 import dataclasses
 import heapq
 import random
-import statistics
 import time
 from collections import defaultdict
 from collections.abc import Callable
@@ -122,7 +121,7 @@
     def tick(self, number: int) -> None:
         """Runs the timers of all nodes."""
         for node in self.nodes:
-            node.tick(watch=number % self.watch_every == 0)
+            node.tick(number, self.watch_every)
         if self.pooled and number % 2 and len(self.nodes) > 1:
             gossip(self.nodes, self.random)
         self.later(0.5, lambda: self.tick(number + 1))
@@ -260,8 +259,8 @@
     return bool(view.withdrawn)
 
 
-def learning(seed: int, count: int, pooled: bool) -> float:
-    """Returns seconds until the cost stays within 1.1 of the oracle's."""
+def learning(seed: int, count: int, pooled: bool) -> list[float]:
+    """Returns cost over the oracle's in each 100 s."""
     truth = Truth({v: QUALITY[v] for v in OLD})
     stream = draw(truth, seed, 5.0 * count, 600.0)
     fleet = Fleet(count, View(catalog_of(OLD)), seed, pooled, watch_every=10)
@@ -269,11 +268,12 @@
     oracle = best_pairs(truth)
     spent: dict[int, list[float]] = defaultdict(lambda: [0.0, 0.0])
     for d in stream:
-        ours = spent[int(d.at // 20)]
+        ours = spent[int(d.at // 100)]
         ours[0] += served[d.number].cost
         ours[1] += fixed_cascade(d, oracle[d.kind.name, d.hard]).cost
-    late = [w for w, (cost, ideal) in spent.items() if cost > 1.1 * ideal]
-    return 20.0 * (max(late, default=-1) + 1)
+    return [
+        round(ours / ideal, 2) for _, (ours, ideal) in sorted(spent.items())
+    ]
 
 
 def measure_cost(seeds: int, seconds: float) -> None:
@@ -309,11 +309,12 @@
 def measure_learning(seeds: int) -> None:
     """Prints how fast one and eight nodes learn."""
     for count, pooled in ((1, True), (8, False), (8, True)):
-        times = [learning(s, count, pooled) for s in range(seeds)]
-        print(
-            f"learning, {count} nodes, pooled={pooled}: within 1.1 of the"
-            f" oracle after {times} s, median {statistics.median(times)} s"
-        )
+        for seed in range(seeds):
+            print(
+                f"learning, {count} nodes of 5 requests/s, pooled={pooled}:"
+                f" cost over the oracle's each 100 s"
+                f" {learning(seed, count, pooled)}"
+            )
 
 
 @click.command()
--- a/benchmarks/policy_world.py
+++ b/benchmarks/policy_world.py
@@ -298,13 +298,14 @@
             f"d{drawn.number}",
         )
 
-    def tick(self, watch: bool) -> None:
-        """Runs the timers of one half second."""
+    def tick(self, number: int, watch_every: int) -> None:
+        """Runs the timers of half second `number`."""
         self.ratings.submit()
         self.ratings.fetch()
-        if watch:
+        if number % watch_every == 0:
             self.watch.check()
-        self.chooser.refresh()
+        if number % 4 == 0:
+            self.chooser.refresh()
 
 
 def start_rollout(nodes: list[SimNode], rollout: Rollout) -> None:
--- a/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
@@ -55,12 +55,13 @@
 EXPLORE_BURST = 5.0
 """Explorations that a kind can save up."""
 
-RANKING_S = 5.0
+RANKING_S = 10.0
 """Age at which a ranking is not used any more, in seconds; the timer computes
 those in use anew well before."""
 
-REFRESH_S = 0.5
-"""Period of computing rankings anew, outside of the request path."""
+REFRESH_S = 2.0
+"""Period of computing rankings anew outside of the request path, in seconds;
+some 30 rankings of 0.5 ms each are in use, so this costs 1% of a core."""
 
 MAX_RANKINGS = 2_000
 """Rankings kept; all are dropped beyond it."""
--- a/packages/amaranthlug/src/amaranthlug/state/quality_test.py
+++ b/packages/amaranthlug/src/amaranthlug/state/quality_test.py
@@ -63,7 +63,13 @@
 
 
 def ratio(good: float, bad: float, acceptable_bad: float) -> float:
-    """Returns the log of the averaged ratio of one group."""
+    """Returns the log of the averaged ratio of one group.
+
+    Without a bad outcome nothing speaks against the group, whatever its size;
+    most groups are of this kind and need no logarithm.
+    """
+    if bad <= 0:
+        return -math.inf
     test = RatioTest()
     test.add(good, bad, acceptable_bad)
     return test.value()
