Withdraw the version in most use in config-race

Cause: The scenario withdrew a version that the router hardly used. Change: It withdraws the version that most calls were answered by.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/config_race.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/config_race.py
@@ -1,5 +1,6 @@
 """Two operators publish against each other while a version is withdrawn."""
 
+import collections
 import dataclasses
 import random
 import time
@@ -14,12 +15,12 @@
 from amaranthlug_standins.deployments import hengyun
 from amaranthlug_standins.fleet import Fleet
 from amaranthlug_standins.fleet_parts import FleetOptions
+from amaranthlug_standins.history import Call
 from amaranthlug_standins.mixes import sample_mix
 from amaranthlug_standins.trial import Progress, Trial
 
 LOAD_S = 16.0
 RATE = 30.0
-WITHDRAWN = "scribe@2"
 WITHDRAW_AFTER_S = 6.0
 ROUND_S = 0.4
 SPREAD_S = 0.03
@@ -37,9 +38,11 @@
     """Operators, the withdrawal and a watch over the nodes' revisions."""
 
     fleet: Fleet
+    calls: list[Call]
     source: random.Random
     reverted: int = 0
     published: int = 0
+    withdrawn: str = ""
     withdrawn_at: float = 0.0
     highest: dict[str, int] = dataclasses.field(default_factory=dict)
 
@@ -70,13 +73,17 @@
             self.published += 1
 
     def withdraw(self) -> None:
-        """Withdraws a version in the middle of the load."""
+        """Withdraws the version in most use in the middle of the load."""
         gevent.sleep(WITHDRAW_AFTER_S)
+        used = collections.Counter(
+            call.version for call in self.calls if call.version in self.known()
+        )
+        self.withdrawn = used.most_common(1)[0][0]
         self.fleet.append(
             Withdrawal(
-                id=f"withdrawal-{WITHDRAWN}-0",
+                id=f"withdrawal-{self.withdrawn}-0",
                 at=time.time(),
-                version=WITHDRAWN,
+                version=self.withdrawn,
                 epoch=0,
                 reason="operator",
                 operator="ops-north",
@@ -84,6 +91,10 @@
         )
         self.withdrawn_at = time.time()
 
+    def known(self) -> set[str]:
+        """Returns the versions of the deployment."""
+        return {str(version) for version in self.fleet.deployment.qualities}
+
     def watch(self) -> None:
         """Counts how often a node's revision falls."""
         while True:
@@ -128,7 +139,7 @@
         fleet.start()
         mix = sample_mix(fleet.deployment, RATE, LOAD_S)
         trial = Trial.from_mix("config-race", seed, fleet, mix)
-        race = Race(fleet, random.Random(seed))
+        race = Race(fleet, trial.load.calls, random.Random(seed))
         watch = gevent.spawn(race.watch)
         acts = [
             gevent.spawn(race.operate, *operator)
@@ -140,10 +151,13 @@
         accepted = accepted_offsets(fleet.records())
         behind = race.nodes_behind(accepted[-1])
         watch.kill()
-        setting = trial.setting(withdrawn_at={WITHDRAWN: race.withdrawn_at})
+        setting = trial.setting(
+            withdrawn_at={race.withdrawn: race.withdrawn_at}
+        )
         counts = trial.finish(setting)
     counts.config_reverted = race.reverted
     counts.config_not_in_force = behind
+    counts.notes["withdrawn"] = race.withdrawn
     counts.notes["published"] = race.published
     counts.notes["accepted"] = len(accepted) - 1
     return {fleet.deployment.name: counts}
