--- a/packages/amaranthlug/src/amaranthlug/parts_requests.py
+++ b/packages/amaranthlug/src/amaranthlug/parts_requests.py
@@ -141,7 +141,13 @@
 
     def start(self, fleet: FleetParts) -> None:
         """Starts all periodic tasks."""
-        for part in (self.ratings, self.watch, self.poller, self.driver):
+        for part in (
+            self.ratings,
+            self.watch,
+            self.poller,
+            self.versions,
+            self.driver,
+        ):
             part.start(fleet.timers)
 
 
