End a shutdown although probes and entry questions go on

Cause: drain waited for one second without any request, and health probes or questions for entry addresses may come more often than that.

Change: only chat requests and service calls restart that second; all requests of callers are still waited for while they run.

Conclusion: a node that serves no work leaves within a second of its last.

--- a/packages/amaranthlug/src/amaranthlug/transport/server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/server.py
@@ -20,11 +20,14 @@
 PEER_PATH = " /peer/"
 """Part of the request line of messages between nodes."""
 
+WORK_PATHS = (" /v1/chat/", " /v1/services/")
+"""Parts of the request line of work, which must pause before the end."""
+
 IDLE_CHECK_S = 0.05
 """Period of checks for running requests during a shutdown, in seconds."""
 
 QUIET_S = 1.0
-"""Time without any request before the listener closes, in seconds."""
+"""Time without new work before the listener closes, in seconds."""
 
 GC_ALLOCATIONS = 20_000
 """Allocations between young collections; requests leave few cycles."""
@@ -103,7 +106,9 @@
             if self.counted:
                 self.counted = False
                 self.server.running -= 1
-                self.server.last_end = time.monotonic()
+                # Probes and questions for entry addresses may never pause.
+                if any(path in self.requestline for path in WORK_PATHS):
+                    self.server.last_end = time.monotonic()
 
 
 def settle_heap() -> None:
--- a/test/test_server.py
+++ b/test/test_server.py
@@ -183,6 +183,23 @@
     node.bench.check_settled()
 
 
+def test_shutdown_ends_although_others_go_on(node):
+    """A shutdown that lasts as long as peers or probes ask the node."""
+
+    def talk():
+        while True:
+            ask(node, path="/peer/echo", headers={"X-Peer-Auth": "good"})
+            ask(node, method="GET", path="/healthz")
+            gevent.sleep(0.1)
+
+    talker = gevent.spawn(talk)
+    gevent.sleep(0.2)
+    stopped = gevent.spawn(node.server.drain)
+    stopped.join(timeout=4)
+    talker.kill()
+    assert stopped.ready()
+
+
 def use_openai(port):
     """Uses the official client as its callers do."""
     client = openai.OpenAI(
