Clear suspected requests that complete

Cause: the register of suspects was not told of whole answers. Change: wire the chooser's completed call.

--- a/packages/amaranthlug/src/amaranthlug/parts_requests.py
+++ b/packages/amaranthlug/src/amaranthlug/parts_requests.py
@@ -109,6 +109,7 @@
             metrics,
             now,
             settings.seed,
+            completed=suspects.completed,
         )
         driver = RolloutDriver(
             fleet.config,
