Run the official client of a test in a process of its own

Change: the client runs as a child process; the test compares the same facts.

Conclusion: the test does not depend on what ran before it in the process.

--- a/test/test_server.py
+++ b/test/test_server.py
@@ -2,13 +2,14 @@
 
 import json
 import socket as plain_socket
+import sys
 
 import gevent
-import openai
 import pytest
+from _common import ROOT
 from _fakes import KEY, WORDS, wait_for, words_of
 from _node import Node
-from gevent import socket
+from gevent import socket, subprocess
 from geventhttpclient import HTTPClient
 
 from amaranthlug.protocol.refusals import refuse
@@ -200,39 +201,19 @@
     assert stopped.ready()
 
 
-def use_openai(port):
-    """Uses the official client as its callers do."""
-    client = openai.OpenAI(
-        api_key=KEY,
-        base_url=f"http://127.0.0.1:{port}/v1",
-        default_headers={"X-Request-Kind": "describe"},
-        max_retries=0,
-    )
-    messages = [{"role": "user", "content": "Olá"}]
-    whole = client.chat.completions.create(model="auto", messages=messages)
-    stream = client.chat.completions.create(
-        model="auto",
-        messages=messages,
-        stream=True,
-        stream_options={"include_usage": True},
-    )
-    chunks = list(stream)
-    try:
-        client.chat.completions.create(model="auto", messages=[])
-        refused = ""
-    except openai.BadRequestError as error:
-        refused = error.body["code"]
-    return whole, chunks, refused
-
-
+@pytest.mark.processes
 def test_official_client_works_unchanged(node):
     """A deviation from the OpenAI shape that its client rejects."""
-    job = gevent.get_hub().threadpool.spawn(use_openai, node.port)
-    whole, chunks, refused = job.get(timeout=20)
-    assert whole.choices[0].message.content == WHOLE
-    assert whole.usage.completion_tokens == 8
-    texts = [c.delta.content or "" for chunk in chunks for c in chunk.choices]
-    assert "".join(texts) == WHOLE
-    assert chunks[-1].usage.completion_tokens == 8
-    assert chunks[-1].amaranthlug["cost"] == 21
-    assert refused == "bad_request"
+    # A process of its own: the client blocks, which would stop the node.
+    script = ROOT / "test" / "_openai_caller.py"
+    output = subprocess.check_output(
+        [sys.executable, str(script), str(node.port), KEY], timeout=20
+    )
+    assert json.loads(output) == {
+        "whole": WHOLE,
+        "whole_tokens": 8,
+        "streamed": WHOLE,
+        "streamed_tokens": 8,
+        "cost": 21,
+        "refused": "bad_request",
+    }
