State the measured time of a garbage collection

Cause: the comment of settle_heap and gave 20 ms for a full collection, a figure that had not been measured.

Change: the comment gives the measured figure.

Figures: gc.collect() after the imports of the daemon took 32.6, 32.1 and 34.8 ms for 51,870 objects, and 0.01 ms after gc.freeze().

Conclusion: the freeze is worth more than was stated.

--- a/packages/amaranthlug/src/amaranthlug/transport/server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/server.py
@@ -114,7 +114,8 @@
 def settle_heap() -> None:
     """Keeps the objects of start-up out of garbage collections.
 
-    A full collection over them takes about 20 ms, in which no token moves.
+    A full collection over the 52,000 objects of a daemon's imports took 32 to
+    35 ms here, in which no token moves; after the freeze it took 0.01 ms.
     """
     gc.collect()
     gc.freeze()
