Treat a closed or malformed peer connection as an error

Cause: the HTTP client reports a clean close by an exception that is no OSError, which would have ended the sending task, and the link swallowed time limits of its callers. Change: both kinds are returned as PeerError; only the link's own limit is caught. Conclusion: a peer that dies within a message costs one error.

--- a/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
@@ -6,6 +6,7 @@
 
 import gevent
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 from result import Err, Ok, Result
 
 from amaranthlug.coordination.peers import PeerError
@@ -16,6 +17,9 @@
 IDLE_PER_PEER = 4
 """Idle connections kept per peer; more are closed after use."""
 
+FAILURES = (OSError, HTTPParseError)
+"""Errors of a connection; a clean close by the peer is an `HTTPParseError`."""
+
 PEERS_POOLED = 64
 """Peers with idle connections; the least recently used is closed beyond."""
 
@@ -45,10 +49,13 @@
         }
         body = json.dumps(full, separators=(",", ":")).encode()
         auth = self.keys.sign(self.me.address, body)
+        limit = gevent.Timeout(timeout_s)
         try:
-            with gevent.Timeout(timeout_s):
+            with limit:
                 return self.post(address, name, body, auth)
-        except gevent.Timeout:
+        except gevent.Timeout as expired:
+            if expired is not limit:
+                raise  # A limit of the caller.
             self.metrics.incr("peer.timeout")
             return Err(
                 PeerError(address, f"{name}: no answer in {timeout_s} s")
@@ -66,7 +73,7 @@
         if client is not None:
             try:
                 return self.exchange(client, address, name, body, auth)
-            except OSError:
+            except FAILURES:
                 # The process may have acted before its connection broke.
                 untried = False
                 self.metrics.incr("retried.peer_connection")
@@ -75,7 +82,7 @@
             return self.exchange(fresh, address, name, body, auth)
         except ConnectionRefusedError as error:
             return Err(PeerError(address, f"{name}: {error}", untried))
-        except (OSError, ValueError) as error:
+        except (*FAILURES, ValueError) as error:
             return Err(PeerError(address, f"{name}: {error}"))
 
     def exchange(
--- a/test/test_peer_messages.py
+++ b/test/test_peer_messages.py
@@ -6,6 +6,7 @@
 import pytest
 from gevent import pywsgi
 from gevent.pool import Pool
+from gevent.server import StreamServer
 
 from amaranthlug.coordination.peers import PeerHandlers
 from amaranthlug.state.members import Member
@@ -128,6 +129,30 @@
     again.server.stop()
 
 
+@pytest.mark.parametrize("answer", [b"", b"garbage\r\n\r\n", b"HTTP/1.1 2"])
+def test_cut_or_malformed_reply_is_an_error(answer):
+    """An exception would end the task that sent the message."""
+
+    def handle(sock, _):
+        sock.recv(65_536)
+        sock.sendall(answer)
+        sock.close()
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    address = f"127.0.0.1:{server.server_port}"
+    reply = link().call(address, "echo", {}, 2.0)
+    assert not reply.err_value.not_received
+    server.stop()
+
+
+def test_limit_of_the_caller_is_not_swallowed(served):
+    """A shutdown with a limit must not wait for a silent peer."""
+    served.handlers.register("slow", lambda message: gevent.sleep(1) or {})
+    with pytest.raises(gevent.Timeout), gevent.Timeout(0.05):
+        link().call(served.address, "slow", {}, 2.0)
+
+
 def test_silent_peer_times_out_and_its_connection_is_dropped(served):
     """A late reply must not be taken for the reply to the next message."""
 
