Shorten heartbeats in exchange messages

Cause: a node of 32 sent 3,305 bytes/s without requests, above the 3 KB/s that control may cost, and long incarnations would have added more. Change: a heartbeat is a short name of 6 characters, its age and its counter to base 36; a random whole entry goes with one message in four. Conclusion: the cost no longer depends on the length of incarnations.

--- a/packages/amaranthlug/src/amaranthlug/coordination/member_messages.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/member_messages.py
@@ -6,10 +6,12 @@
 from typing import Any
 
 from amaranthlug.state.members import (
+    SHORT_CHARS,
     Member,
     MemberEntry,
     MemberState,
     MemberTable,
+    short_name,
 )
 
 BEATS = 30
@@ -22,8 +24,9 @@
 NEWS = 6
 """Whole entries of changed members in one message."""
 
-SAMPLES = 1
-"""Whole entries of random members in one message, so all learn of all."""
+SAMPLE_SHARE = 0.25
+"""Share of messages with the whole entry of a random member, so that all learn
+of all although a piece of news was lost."""
 
 WELCOME = 64
 """Whole entries in the reply to a node that knows under half of the members."""
@@ -31,6 +34,11 @@
 BEAT_AGE_S = 6.0
 """Oldest heartbeat that is passed on, in seconds."""
 
+AGE_UNIT_S = 0.2
+"""Unit of an age in a message, in seconds; 35 of them exceed `BEAT_AGE_S`."""
+
+DIGITS = "0123456789abcdefghijklmnopqrstuvwxyz"
+
 SHORT = {
     MemberState.LIVE: "l",
     MemberState.SUSPECT: "l",
@@ -72,6 +80,23 @@
     )
 
 
+def pack_age(age_s: float) -> str:
+    """Returns an age as one digit to base 36, rounded up.
+
+    Rounding down would make a counter younger at each node it passes.
+    """
+    return DIGITS[min(35, max(0, math.ceil(age_s / AGE_UNIT_S)))]
+
+
+def pack_count(count: int) -> str:
+    """Returns a counter to base 36."""
+    digits = ""
+    while count:
+        count, digit = divmod(count, 36)
+        digits = DIGITS[digit] + digits
+    return digits or "0"
+
+
 class MemberSection:
     """Builds and reads the exchange section `members`."""
 
@@ -114,10 +139,11 @@
         if len(fresh) > BEATS:
             youngest = heapq.nlargest(FRESHEST, fresh, key=lambda m: m.heard_at)
             fresh = self.rng.sample(youngest, BEATS)
-        ages = [max(0, int(10 * (now - m.heard_at))) for m in fresh]
         return " ".join(
-            f"{m.incarnation}:{m.heartbeat}:{age}"
-            for m, age in zip(fresh, ages, strict=True)
+            short_name(m.incarnation)
+            + pack_age(now - m.heard_at)
+            + pack_count(m.heartbeat)
+            for m in fresh
         )
 
     def entries(self, now: float) -> list[list[Any]]:
@@ -129,7 +155,8 @@
             left = self.news.pop(incarnation)
             if left > 0:  # Moves behind the others, so that each is sent.
                 self.news[incarnation] = left
-        count = WELCOME if self.welcome else SAMPLES
+        count = WELCOME if self.welcome else 0
+        count += self.rng.random() < SAMPLE_SHARE
         self.welcome = False
         others = [m.incarnation for m in members.values() if m.counts()]
         chosen += self.rng.sample(others, min(count, len(others)))
@@ -148,8 +175,10 @@
             if self.table.merge(entry, now):
                 self.add_news(entry.incarnation)
         for beat in section.get("beats", "").split():
-            incarnation, heartbeat, age = beat.rsplit(":", 2)
-            if incarnation != self.me.incarnation:
-                self.table.beat(incarnation, int(heartbeat), int(age) / 10, now)
+            incarnation = self.table.by_short(beat[:SHORT_CHARS])
+            if incarnation not in (None, self.me.incarnation):
+                age_s = int(beat[SHORT_CHARS], 36) * AGE_UNIT_S
+                heartbeat = int(beat[SHORT_CHARS + 1 :], 36)
+                self.table.beat(incarnation, heartbeat, age_s, now)
         self.welcome = 2 * section.get("count", 0) < len(self.table.members)
         return sender
--- a/packages/amaranthlug/src/amaranthlug/coordination/membership.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/membership.py
@@ -68,7 +68,7 @@
         self.zone_order = (me.zone, *zone_order)
         self.random = random.Random(seed)
         self.table = MemberTable(bound)
-        self.table.members[me.incarnation] = me
+        self.table.insert(me)
         me.heard_at = timers.now()
         self.joins = JoinFold()
         self.section = MemberSection(self.table, me, self.random)
--- a/packages/amaranthlug/src/amaranthlug/state/members.py
+++ b/packages/amaranthlug/src/amaranthlug/state/members.py
@@ -1,7 +1,11 @@
 """Members of the fleet of nodes as one node knows them, and how they merge."""
 
+import base64
 import dataclasses
 import enum
+import functools
+
+import xxhash
 
 from amaranthlug.state.records import LogEntry, NodeJoined, NodeLeft
 
@@ -70,6 +74,18 @@
     age_s: float
 
 
+SHORT_CHARS = 6
+"""Characters of a short name: 32 bits, which two of 390 members share with a
+chance of 2 in 100,000. Heartbeats of such a pair are not passed on."""
+
+
+@functools.lru_cache(maxsize=4_096)
+def short_name(incarnation: str) -> str:
+    """Returns a name of fixed size for messages that carry many members."""
+    digest = xxhash.xxh32_digest(incarnation.encode())
+    return base64.urlsafe_b64encode(digest)[:SHORT_CHARS].decode()
+
+
 class MemberTable:
     """Known members by incarnation; merging is idempotent and commutes."""
 
@@ -77,6 +93,7 @@
         """Creates an empty table that keeps at most `bound` members."""
         self.bound = bound
         self.members: dict[str, Member] = {}
+        self.shorts: dict[str, set[str]] = {}
 
     def merge(self, entry: MemberEntry, now: float) -> bool:
         """Merges an entry; True when it is news worth passing on."""
@@ -102,17 +119,30 @@
     def add(self, entry: MemberEntry, now: float) -> None:
         """Adds an unknown member."""
         leaving = entry.state == MemberState.LEAVING
-        self.members[entry.incarnation] = Member(
-            entry.address,
-            entry.zone,
-            entry.incarnation,
-            MemberState.LEAVING if leaving else MemberState.LIVE,
-            entry.heartbeat,
-            now - entry.age_s,
-            leaving,
+        self.insert(
+            Member(
+                entry.address,
+                entry.zone,
+                entry.incarnation,
+                MemberState.LEAVING if leaving else MemberState.LIVE,
+                entry.heartbeat,
+                now - entry.age_s,
+                leaving,
+            )
         )
         self.trim()
 
+    def insert(self, member: Member) -> None:
+        """Sets a member."""
+        self.members[member.incarnation] = member
+        short = short_name(member.incarnation)
+        self.shorts.setdefault(short, set()).add(member.incarnation)
+
+    def by_short(self, short: str) -> str | None:
+        """Returns the incarnation with a short name, None if not just one."""
+        found = self.shorts.get(short, set())
+        return next(iter(found)) if len(found) == 1 else None
+
     def beat(
         self, incarnation: str, heartbeat: int, age_s: float, now: float
     ) -> bool:
@@ -154,6 +184,10 @@
         ended = [m for m in self.members.values() if not m.counts()]
         for member in sorted(ended, key=lambda m: m.heard_at)[:excess]:
             del self.members[member.incarnation]
+            short = short_name(member.incarnation)
+            self.shorts[short].discard(member.incarnation)
+            if not self.shorts[short]:
+                del self.shorts[short]
 
 
 class JoinFold:
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -13,6 +13,7 @@
     MemberEntry,
     MemberState,
     MemberTable,
+    short_name,
 )
 
 LIVE = MemberState.LIVE
@@ -138,6 +139,28 @@
     assert states(fleet.nodes["n0"])["n1"] == "suspect"
 
 
+def test_members_with_one_short_name_do_not_share_heartbeats():
+    """A counter of another member would hide a death."""
+    table = MemberTable(bound=2)
+    for incarnation in ("x", "y"):
+        entry = MemberEntry("n1", "a", incarnation, LIVE, 1, 0.0)
+        table.merge(entry, 1.0)
+    assert table.by_short(short_name("x")) == "x"
+    table.shorts[short_name("x")].add("y")
+    assert table.by_short(short_name("x")) is None
+
+
+def test_table_is_bounded_and_drops_the_longest_gone():
+    """25 failures and 440 restarts a day would fill the memory."""
+    table = MemberTable(bound=3)
+    for number in range(10):
+        entry = MemberEntry("n1", "a", f"i{number}", LIVE, 1, 0.0)
+        table.merge(entry, float(number))
+        table.end(f"i{number}", MemberState.GONE)
+    assert sorted(table.members) == ["i7", "i8", "i9"]
+    assert len(table.shorts) == 3
+
+
 ENTRIES = st.builds(
     MemberEntry,
     st.just("n1"),
