Pay for exploration with half the surplus of quality

Change: each request adds half of its kind's expected surplus to a budget, and an exploration costs the quality it is expected to lose, so options close to the target are explored more often; the prior from other kinds counts up to 50 ratings.

--- a/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
@@ -42,18 +42,22 @@
 from amaranthlug.state.refusal import Refusal
 from amaranthlug.state.rollouts import RolloutFold, new_version, old_version
 
-EXPLORE_SHARE = 0.02
-"""Least exploration budget: share of a kind's requests that may go to a
-cheaper version whose quality is not known well enough."""
+EXPLORE_SURPLUS = 0.5
+"""Exploration budget: part of a kind's expected surplus above its target that
+exploration may spend; the rest covers errors of the estimates."""
+
+MIN_SURPLUS = 0.004
+"""Least surplus that is counted, so that a kind close to its target explores a
+little too; an exploration mostly loses 0.05 to 0.4."""
 
 MAX_EXPLORE_SHARE = 0.25
+"""Largest share of a kind's requests that explore."""
 
-EXPLORE_SURPLUS = 1.0
-"""Exploration per surplus of quality. Explored answers are good more often
-than not, so a surplus pays for at least as many explorations."""
+MIN_LOSS = 0.02
+"""Least loss of quality that an exploration is counted with."""
 
-EXPLORE_BURST = 5.0
-"""Explorations that a kind can save up."""
+EXPLORE_BURST = 1.0
+"""Loss of quality that a kind can save up for, in answers."""
 
 RANKING_S = 10.0
 """Age at which a ranking is not used any more, in seconds; the timer computes
@@ -363,19 +367,23 @@
         request = case.request
         kind = request.kind
         ranking = self._ranking(case, candidates)
-        share = min(MAX_EXPLORE_SHARE, EXPLORE_SURPLUS * ranking.surplus)
-        budget = self.budgets.get(kind.name, 0.0)
-        budget += max(EXPLORE_SHARE, share)
+        surplus = max(MIN_SURPLUS, ranking.surplus) * EXPLORE_SURPLUS
+        budget = self.budgets.get(kind.name, 0.0) + surplus
         self.budgets[kind.name] = min(EXPLORE_BURST, budget)
-        if budget < 1 or request.session_id or self.ratings.out():
+        if request.session_id or self.ratings.out():
             return None
-        unknown = tuple(
-            o for o in ranking.unknown if self._may_explore(case, o)
-        )
+        if self.random.random() >= MAX_EXPLORE_SHARE:
+            return None
+        unknown = [o for o in ranking.unknown if self._may_explore(case, o)]
         if not unknown:
             return None
-        self.budgets[kind.name] -= 1
-        return self.random.choice(unknown)
+        losses = [max(MIN_LOSS, option.mean - o.mean) for o in unknown]
+        weights = [1 / loss for loss in losses]
+        (index,) = self.random.choices(range(len(unknown)), weights)
+        if losses[index] > self.budgets[kind.name]:
+            return None
+        self.budgets[kind.name] -= losses[index]
+        return unknown[index]
 
     def _may_explore(self, case: Case, option: Option) -> bool:
         version = option.steps[0].version
--- a/packages/amaranthlug/src/amaranthlug/state/evidence.py
+++ b/packages/amaranthlug/src/amaranthlug/state/evidence.py
@@ -21,7 +21,7 @@
 PRIOR_WEIGHT = 4.0
 """Ratings that the prior of the catalogue is worth."""
 
-SHARED_WEIGHT = 20.0
+SHARED_WEIGHT = 50.0
 """Ratings that a version's other kinds of the same difficulty are worth; few
 enough that some dozen ratings of the kind itself prevail where kinds differ."""
 
--- a/test/_policy.py
+++ b/test/_policy.py
@@ -223,6 +223,14 @@
         self.chooser.refresh()
 
     def choose(self, pinned=None, **changes):
+        """Returns the plan or refusal of a request that does not explore."""
+        for _ in range(50):
+            answer = self.once(pinned, **changes)
+            if getattr(answer, "reason", "") != "explored":
+                return answer
+        raise AssertionError("every request explores")
+
+    def once(self, pinned=None, **changes):
         """Returns the plan or refusal of a new request."""
         answer = self.chooser.choose(self.request(**changes), pinned)
         return answer.ok() or answer.err()
