--- a/packages/amaranthlug/src/amaranthlug/protocol/services.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/services.py
@@ -14,6 +14,7 @@
 )
 from amaranthlug.state.records import BillEntry
 from amaranthlug.state.refusal import Refusal
+from amaranthlug.state.runs import RunTicket
 
 
 @dataclasses.dataclass
@@ -24,6 +25,7 @@
         deadline: Monotonic time by which the whole answer is due, in seconds.
         model: `auto`, a model, or `model@version`.
         prompt_tokens: Estimate.
+        key_issued_ms: `X-Key-Issued-At` in Unix milliseconds.
         digest: Hash of organisation and normalised body.
     """
 
@@ -39,6 +41,7 @@
     prompt: str = ""
     session_id: str = ""
     idempotency_key: str = ""
+    key_issued_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,24 +140,16 @@
         ...
 
 
-@dataclasses.dataclass(frozen=True)
-class RunTicket:
-    """Permission to run a keyed request, or the answer of its first run.
-
-    Attributes:
-        run: True when the caller of `begin` must run the request.
-        answer: Stored answer of an earlier run when `run` is False.
-    """
-
-    run: bool
-    answer: dict[str, Any] | None = None
-
-
 class RunRegister(Protocol):
     """Runs of requests that carry an idempotency key."""
 
     def begin(
-        self, scope: str, key: str, digest: str, idempotent: bool
+        self,
+        scope: str,
+        key: str,
+        digest: str,
+        idempotent: bool,
+        issued_ms: int | None = None,
     ) -> Result[RunTicket, Refusal]:
         """Registers a run before dispatch.
 
@@ -176,6 +171,14 @@
         """Refuses at the bound of bills that wait for the log."""
         ...
 
+    def open(self, entry: BillEntry) -> None:
+        """Copies an entry at dispatch, without waiting."""
+        ...
+
+    def close(self, request_id: str) -> None:
+        """Ends an open entry without a bill: the request did not run."""
+        ...
+
     def record(self, entry: BillEntry) -> None:
         """Copies an entry to peers; returns before the caller's end marker."""
         ...
--- a/packages/amaranthlug/src/amaranthlug/transport/app.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/app.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import socket
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -9,9 +10,12 @@
 import msgspec
 from result import Err
 
-from amaranthlug.coordination.peers import PeerHandlers
 from amaranthlug.protocol.chat import CallerHeaders, too_large
-from amaranthlug.protocol.dispatch import Dispatcher, WholeAnswer
+from amaranthlug.protocol.dispatch import (
+    CallerLeftError,
+    Dispatcher,
+    WholeAnswer,
+)
 from amaranthlug.protocol.service_calls import ServiceCalls
 from amaranthlug.protocol.services import EntryView
 from amaranthlug.state.refusal import Refusal
@@ -19,15 +23,18 @@
 
 log = logging.getLogger(__name__)
 
+SOCKET_KEY = "amaranthlug.socket"
+"""Key of the WSGI environment under which the caller's socket is."""
+
 PEER_BODY_BYTES = 16_000_000
 """Bound of a message from a peer; a page of log records is the largest."""
 
 
-class PeerAuthenticator(Protocol):
-    """Checks who sent a peer message."""
+class PeerMessages(Protocol):
+    """Authenticates and handles peer messages."""
 
-    def verify(self, header: str, body: bytes) -> bool:
-        """Tells whether the header `X-Peer-Auth` belongs to the body."""
+    def receive(self, name: str, auth: str, body: bytes) -> tuple[int, bytes]:
+        """Returns the HTTP status and JSON body of the reply."""
         ...
 
 
@@ -39,13 +46,11 @@
         entry_ttl_s: Seconds for which callers may cache entry addresses.
         leaving: Tells whether the node is shutting down.
         status: Returns the content of /statusz.
-        incarnation: Messages meant for another one get 410.
     """
 
     entry_ttl_s: float
     leaving: Callable[[], bool]
     status: Callable[[], dict[str, Any]]
-    incarnation: str
 
 
 def send_json(resp: falcon.Response, message: Any, status: int = 200) -> None:
@@ -79,9 +84,25 @@
         session_id=req.get_header("X-Session-Id") or "",
         idempotency_key=req.get_header("Idempotency-Key") or "",
         deadline_ms=req.get_header("X-Deadline-Ms") or "",
+        key_issued_at=req.get_header("X-Key-Issued-At") or "",
     )
 
 
+def caller_left(req: falcon.Request) -> bool:
+    """Tells whether the caller closed its connection."""
+    sock = req.env.get(SOCKET_KEY)
+    if sock is None:
+        return False
+    try:
+        # gevent's own recv would wait for data.
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        return not sock._sock.recv(1, flags)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 class EntryResource:
     """Entry addresses for callers."""
 
@@ -115,7 +136,9 @@
             resp.set_header("Connection", "close")
             send_refusal(resp, refusal)
             return
-        answered = self.dispatcher.handle(raw, caller_headers(req))
+        answered = self.dispatcher.handle(
+            raw, caller_headers(req), lambda: caller_left(req)
+        )
         if isinstance(answered, Err):
             send_refusal(resp, answered.err_value)
             return
@@ -173,39 +196,22 @@
 class PeerResource:
     """Messages of peers."""
 
-    def __init__(
-        self,
-        handlers: PeerHandlers,
-        authenticator: PeerAuthenticator,
-        incarnation: str,
-    ):
+    def __init__(self, peers: PeerMessages):
         """Creates the resource."""
-        self.handlers = handlers
-        self.authenticator = authenticator
-        self.incarnation = incarnation
+        self.peers = peers
 
     def on_post(
         self, req: falcon.Request, resp: falcon.Response, name: str
     ) -> None:
-        """Passes an authentic message to its handler."""
+        """Passes a message to the part that authenticates it."""
         raw = read_body(req, PEER_BODY_BYTES)
-        header = req.get_header("X-Peer-Auth") or ""
-        if raw is None or not self.authenticator.verify(header, raw):
-            send_json(resp, {"error": "not_authenticated"}, 401)
-            return
-        handler = self.handlers.handlers.get(name)
-        if handler is None:
-            send_json(resp, {"error": "unknown_message"}, 404)
-            return
-        try:
-            message = msgspec.json.decode(raw, type=dict[str, Any])
-        except msgspec.MsgspecError:
-            send_json(resp, {"error": "malformed_message"}, 400)
-            return
-        if message.get("to") not in (None, "", self.incarnation):
-            send_json(resp, {"error": "other_incarnation"}, 410)
+        if raw is None:
+            resp.set_header("Connection", "close")
+            send_json(resp, {"error": "body_too_large"}, 413)
             return
-        send_json(resp, handler(message))
+        auth = req.get_header("X-Peer-Auth") or ""
+        resp.status, resp.data = self.peers.receive(name, auth, raw)
+        resp.content_type = "application/json"
 
 
 class OperatorResource:
@@ -247,8 +253,7 @@
     dispatcher: Dispatcher,
     calls: ServiceCalls,
     entries: EntryView,
-    handlers: PeerHandlers,
-    authenticator: PeerAuthenticator,
+    peers: PeerMessages,
     metrics: StatsdMetrics,
     node: NodeView,
     body_bytes: int,
@@ -257,19 +262,30 @@
     app = falcon.App()
     app.add_error_handler(Exception, log_failure)
     app.add_error_handler(falcon.HTTPError, send_http_error)
+    app.add_error_handler(CallerLeftError, note_left)
     app.add_route("/v1/entry", EntryResource(entries, node))
     app.add_route("/v1/chat/completions", ChatResource(dispatcher, body_bytes))
     operator = OperatorResource(node, metrics)
     app.add_route("/healthz", operator, suffix="health")
     app.add_route("/metricsz", operator, suffix="metrics")
     app.add_route("/statusz", operator, suffix="status")
-    peer = PeerResource(handlers, authenticator, node.incarnation)
-    app.add_route("/peer/{name}", peer)
+    app.add_route("/peer/{name}", PeerResource(peers))
     sink = ServiceSink(calls, body_bytes)
     app.add_sink(sink, r"/v1/services/(?P<name>[^/]+)(?P<path>/.*)?$")
     return app
 
 
+def note_left(
+    req: falcon.Request,
+    resp: falcon.Response,
+    error: CallerLeftError,
+    params: dict[str, Any],
+) -> None:
+    """Ends a request whose caller is gone; nobody reads the answer."""
+    resp.set_header("Connection", "close")
+    send_json(resp, {}, 499)
+
+
 def send_http_error(
     req: falcon.Request,
     resp: falcon.Response,
--- a/test/_fakes_fleet.py
+++ b/test/_fakes_fleet.py
@@ -5,6 +5,8 @@
 import gevent
 from result import Err, Ok
 
+from amaranthlug.coordination.bill_copies import BillCopies
+from amaranthlug.coordination.billing import LogBiller
 from amaranthlug.coordination.exchange import Exchange
 from amaranthlug.coordination.membership import Membership
 from amaranthlug.coordination.peers import (
@@ -15,6 +17,10 @@
 )
 from amaranthlug.coordination.platform import PlatformError
 from amaranthlug.coordination.rumours import RumourMill
+from amaranthlug.coordination.run_register import SlotRunRegister
+from amaranthlug.coordination.session_pins import SlotSessionPins
+from amaranthlug.coordination.slot_claims import SlotClaims
+from amaranthlug.coordination.slots import SlotKeeper
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.coordination.vm_watch import VmWatch
 from amaranthlug.state.members import Member
@@ -71,6 +77,7 @@
         self.me = me
 
     def call(self, address, name, message, timeout_s):
+        activity.calls += 1
         gevent.sleep(0)
         target = self.fleet.nodes.get(address)
         if target is None or not self.fleet.reaches(self.me.address, address):
@@ -150,6 +157,7 @@
         return Ok(self.position())
 
     def append(self, record):
+        activity.calls += 1
         gevent.sleep(0)
         if not self.reachable():
             return Err(PlatformError("log", "out"))
@@ -208,7 +216,49 @@
             self.link, self.membership, self.handlers, self.timers
         )
         self.exchange.register(self.membership)
-        for part in (self.vms, self.membership, self.exchange):
+        self.slots = SlotKeeper(
+            self.membership,
+            self.link,
+            self.handlers,
+            self.feed,
+            self.timers,
+            self.metrics,
+            timings,
+            wall_s=lambda: fleet.time,
+            pause=fleet.wait,
+        )
+        self.claims = SlotClaims(
+            self.slots, self.feed, self.membership.certainly_gone
+        )
+        self.runs = SlotRunRegister(self.slots, self.handlers)
+        self.withdrawn = set()
+        self.pins = SlotSessionPins(
+            self.slots,
+            self.handlers,
+            lambda organisation, version: str(version) not in self.withdrawn,
+        )
+        self.copies = BillCopies(
+            self.membership,
+            self.handlers,
+            self.feed,
+            self.feed,
+            self.timers,
+            self.metrics,
+        )
+        self.biller = LogBiller(
+            self.membership,
+            self.link,
+            self.feed,
+            self.feed,
+            self.copies,
+            self.timers,
+            self.metrics,
+            timings,
+        )
+        self.copies.start()
+        self.biller.start()
+        parts = (self.vms, self.membership, self.exchange, self.slots)
+        for part in (*parts, self.claims, self.runs, self.pins):
             part.start()
         self.timers.every("log", 0.5, self.feed.poll)
 
@@ -220,6 +270,7 @@
 
     def __init__(self, count, zones=("a", "b", "c"), timings=None):
         self.time = 1_000.0
+        self.main = gevent.getcurrent()
         self.timings = timings or Timings()
         self.nodes = {}
         self.log = FakeLog()
@@ -263,6 +314,32 @@
             return False
         return (sender, receiver) not in self.cuts
 
+    def wait(self, seconds):
+        """Waits for fake time within a greenlet; not in the main one."""
+        if gevent.getcurrent() is self.main:
+            return
+        end = self.time + seconds
+        while self.time < end:
+            gevent.sleep(0)
+
+    def call(self, function, *arguments, limit_s=60):
+        """Calls a function in a greenlet while time runs."""
+        task = gevent.spawn(function, *arguments)
+        settle()
+        end = self.time + limit_s
+        while not task.ready() and self.time < end:
+            self.run(STEP_S)
+        # Waits within a message (`LONG_POLL_S`) take real time.
+        return task.get(timeout=5)
+
+    def owners(self, slot):
+        """Returns the addresses of nodes that may act on a slot now."""
+        return [
+            address
+            for address, node in self.nodes.items()
+            if node.slots.holds(slot)
+        ]
+
     def run(self, seconds):
         """Moves time and runs the timers that are due."""
         end = self.time + seconds
@@ -274,7 +351,25 @@
             settle()
 
 
-def settle(rounds=400):
+IDLE_ROUNDS = 10
+"""Rounds without a message after which all greenlets wait for time."""
+
+
+class Activity:
+    """Counts messages and appends of all nodes."""
+
+    calls = 0
+
+
+activity = Activity()
+
+
+def settle(rounds=600):
     """Lets all greenlets run until they wait for time."""
+    idle, calls = 0, activity.calls
     for _ in range(rounds):
         gevent.sleep(0)
+        idle = idle + 1 if activity.calls == calls else 0
+        calls = activity.calls
+        if idle > IDLE_ROUNDS:
+            return
