--- a/packages/amaranthlug-standins/src/amaranthlug_standins/counts.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/counts.py
@@ -268,7 +268,7 @@
     counts: Counts, calls: Sequence[Call], truth: Truth
 ) -> None:
     """Measures times to the first token of answered streams."""
-    times, added = [], []
+    times, added, plain = [], [], []
     for call in calls:
         if call.first_token_s < 0 or call.outcome != ANSWERED:
             continue
@@ -277,8 +277,13 @@
         if len(runs) == 1 and runs[0].first_at and call.attempts == 1:
             at_engine = runs[0].first_at - runs[0].started_at
             added.append((call.first_token_s - at_engine) * 1000)
+            if not call.session and not call.key:
+                plain.append(added[-1])
     counts.ttft_p95_ms = percentile(times, 0.95)
     counts.router_added_ttft_p95_ms = percentile(added, 0.95)
+    # Sessions and keys cost a message to the slot's owner and its copies.
+    counts.notes["router_added_ttft_p50_ms"] = percentile(added, 0.5)
+    counts.notes["router_added_plain_ttft_p95_ms"] = percentile(plain, 0.95)
 
 
 def percentile(values: Sequence[float], share: float) -> float | None:
