Put a fault proxy between the parts of a fleet

Faults of the network could not be brought about between real processes. PeerSettings.via maps peers' addresses to links when it is set. The option is off by default and costs a dictionary look-up per new peer connection.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/caller.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/caller.py
@@ -35,18 +35,23 @@
 
 
 class Clients:
-    """Connection pools of the callers by address."""
+    """Connection pools of the callers by address.
+
+    Attributes:
+        via: Addresses to connect to in place of others, for fault proxies.
+    """
 
     def __init__(self, limit_s: float):
         """Creates pools; `limit_s` bounds the silence of a connection."""
         self.limit_s = limit_s
+        self.via: dict[str, str] = {}
         self.by_address: dict[str, HTTPClient] = {}
 
     def get(self, address: str) -> HTTPClient:
         """Returns the pool of an address."""
         if address not in self.by_address:
             self.by_address[address] = HTTPClient.from_url(
-                f"http://{address}",
+                f"http://{self.via.get(address, address)}",
                 concurrency=512,
                 connection_timeout=CONNECT_LIMIT_S,
                 network_timeout=self.limit_s,
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
@@ -23,6 +23,8 @@
 from amaranthlug_standins.children import Child, stop_all
 from amaranthlug_standins.deployments import Deployment
 from amaranthlug_standins.engine import EngineConfig, EngineStandIn
+from amaranthlug_standins.fault_proxy import FaultProxy, ProxyConfig
+from amaranthlug_standins.fault_wires import FaultWires
 from amaranthlug_standins.fleet_parts import (
     FleetOptions,
     Part,
@@ -62,6 +64,7 @@
         self.nodes: list[RunningNode] = []
         self.addresses: dict[str, str] = {}
         self.placeholder: dict[str, Part] = {}
+        self.wires: FaultWires | None = None
 
     def start(self, with_nodes: bool = True) -> "Fleet":
         """Starts everything, publishes the configuration and waits.
@@ -95,6 +98,8 @@
             ),
             ("weights", WeightsStandIn, WeightsConfig(seed=seed)),
         ]
+        if options.faults:
+            pending.append(("network", FaultProxy, ProxyConfig(seed=seed)))
         placeholders: dict[str, tuple[str, bool]] = {}
         for pool in self.deployment.catalog.pools.values():
             for index, upstream in enumerate(pool.upstreams):
@@ -112,6 +117,8 @@
                 address, engine = placeholders[name]
                 self.placeholder[address] = part
                 (self.engines if engine else self.services).append(part)
+        if options.faults:
+            self.wires = FaultWires(self.parts["network"])
 
     def engine_config(self, pool: str, index: int, zone: str) -> EngineConfig:
         """Returns the configuration of one engine of a pool."""
@@ -166,8 +173,14 @@
         """Puts all upstreams on the VM list."""
         for pool in self.deployment.catalog.pools.values():
             for upstream in pool.upstreams:
+                part = self.placeholder[upstream.address]
+                part.reached_at = part.address
+                if self.wires is not None:
+                    part.reached_at = self.wires.upstream(
+                        part.name, upstream.zone, part.address
+                    )
                 self.register_vm(
-                    self.placeholder[upstream.address].address,
+                    part.reached_at,
                     upstream.zone,
                     "engine" if pool.engine else "service",
                 )
@@ -192,7 +205,7 @@
             if path.startswith("pools/"):
                 for upstream in body["upstreams"]:
                     part = self.placeholder[upstream["address"]]
-                    upstream["address"] = part.address
+                    upstream["address"] = part.reached_at
         return parts
 
     def append(self, record: Record) -> int:
@@ -249,7 +262,10 @@
 
     def start_nodes(self) -> None:
         """Registers and starts all nodes."""
-        for settings in self.node_settings():
+        found = self.node_settings()
+        if self.wires is not None:
+            found = self.wires.rewire(found)
+        for settings in found:
             self.register_vm(settings.address, settings.zone, "entry")
             self.nodes.append(self.start_node(settings))
 
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
@@ -24,6 +24,7 @@
         timings: Periods and limits of the nodes.
         pace: Time model of the engines.
         checks_fence: Whether the engine with an index checks fences.
+        faults: Traffic goes through a fault proxy (`Fleet.wires`).
     """
 
     seed: int = 1
@@ -34,17 +35,23 @@
     rating: RatingConfig = dataclasses.field(default_factory=RatingConfig)
     log: LogConfig = dataclasses.field(default_factory=LogConfig)
     checks_fence: Callable[[int], bool] = lambda index: index % 2 == 0
+    faults: bool = False
 
 
 @dataclasses.dataclass
 class Part:
-    """A running stand-in, in this process or in a child."""
+    """A running stand-in, in this process or in a child.
+
+    Attributes:
+        reached_at: Address that the configuration names for an upstream.
+    """
 
     name: str
     address: str
     control: str
     standin: StandIn | None = None
     child: Child | None = None
+    reached_at: str = ""
 
     def seen(self) -> dict[str, Any]:
         """Returns its ground truth."""
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/trial.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/trial.py
@@ -41,6 +41,8 @@
         seeds = [node.address for node in fleet.nodes]
         name = f"{fleet.deployment.name}-{scenario}"
         load = Load(mix, fleet.deployment.catalog, seeds, seed, name)
+        if fleet.wires is not None:
+            load.clients.via.update(fleet.wires.caller_via)
         return cls(scenario, seed, fleet, load)
 
     def setting(self, **values: object) -> Setting:
--- a/packages/amaranthlug/src/amaranthlug/parts_fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/parts_fleet.py
@@ -64,7 +64,7 @@
         metrics = StatsdMetrics.from_config(settings.statsd)
         handlers = PeerHandlers()
         keys = PeerKeys(settings.peers.keys)
-        link = HttpPeerLink(keys, me, metrics)
+        link = HttpPeerLink(keys, me, metrics, settings.peers.via)
         vm_list_url = settings.platform.vm_list
         vms = VmWatch(
             HttpVmList(vm_list_url) if vm_list_url else None,
--- a/packages/amaranthlug/src/amaranthlug/state/settings.py
+++ b/packages/amaranthlug/src/amaranthlug/state/settings.py
@@ -20,10 +20,13 @@
     Attributes:
         keys: Key id to secret; the first signs, any of them verifies.
         seeds: Addresses `host:port` to join by when the VM list is out.
+        via: Addresses to connect to in place of peers' own; tests put fault
+            proxies there.
     """
 
     keys: dict[str, str]
     seeds: tuple[str, ...] = ()
+    via: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
@@ -2,6 +2,7 @@
 
 import json
 from collections import OrderedDict
+from collections.abc import Mapping
 from typing import Any
 
 import gevent
@@ -23,8 +24,15 @@
 class HttpPeerLink:
     """Implements `PeerLink`; adds sender and incarnation and signs."""
 
-    def __init__(self, keys: PeerKeys, me: Member, metrics: Metrics):
-        """Takes the keys and this node's identity."""
+    def __init__(
+        self,
+        keys: PeerKeys,
+        me: Member,
+        metrics: Metrics,
+        via: Mapping[str, str] | None = None,
+    ):
+        """Takes keys, identity and, for tests, the map `PeerSettings.via`."""
+        self.via = via or {}
         self.keys = keys
         self.me = me
         self.metrics = metrics
@@ -116,7 +124,7 @@
 
     def connect(self, address: str) -> HTTPClient:
         """Creates a client of one connection; limits come from `call`."""
-        host, _, port = address.rpartition(":")
+        host, _, port = self.via.get(address, address).rpartition(":")
         return HTTPClient(host, int(port), concurrency=1)
 
     def take_idle(self, address: str) -> HTTPClient | None:
