Check recorded histories with a rule for each promise

The counts told that a promise broke but kept no evidence, and nothing could be checked again later. Each rule finds its planted violation and passes a clean history in the tests.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/caller.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/caller.py
@@ -10,7 +10,13 @@
 
 from amaranthlug_standins import answers
 from amaranthlug_standins.entry_book import EntryBook, NoEntryError
-from amaranthlug_standins.history import ANSWERED, FAILED, REFUSED, Call
+from amaranthlug_standins.history import (
+    ANSWERED,
+    FAILED,
+    REFUSED,
+    Call,
+    Try,
+)
 from amaranthlug_standins.http_json import BROKEN
 
 MAX_ATTEMPTS = 4
@@ -115,6 +121,23 @@
     def attempt(self, avoid: str) -> None:
         """Sends the request once and records what came back."""
         call = self.call
+        sent_at = time.time()
+        self.send(avoid)
+        refused = call.outcome == REFUSED
+        call.tries.append(
+            Try(
+                node=call.node,
+                sent_at=sent_at,
+                ended_at=time.time(),
+                outcome=call.outcome,
+                code="" if call.outcome == ANSWERED else call.code,
+                not_run=refused and call.not_run,
+            )
+        )
+
+    def send(self, avoid: str) -> None:
+        """Sends the request to a node and takes its reply."""
+        call = self.call
         try:
             call.node = self.book.address(avoid)
             self.exchange(self.clients.get(call.node))
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/counts.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/counts.py
@@ -10,11 +10,17 @@
 from amaranthlug_standins.answers import Quality
 from amaranthlug_standins.costs import best_model_cost, oracle_cost
 from amaranthlug_standins.history import ANSWERED, FAILED, REFUSED, Call
+from amaranthlug_standins.promise_checks import (
+    answered_not_whole,
+    billed,
+    disallowed_runs,
+    false_refusal,
+    repeated_runs,
+    runs_after,
+    session_moves,
+)
 from amaranthlug_standins.truth import Truth
 
-WITHDRAWAL_LIMIT_S = 3.0
-"""Seconds after which a withdrawal is in force everywhere (target)."""
-
 MIN_WINDOW_ANSWERS = 30
 """Smaller groups say too little about a target."""
 
@@ -131,7 +137,7 @@
         if call.outcome in (REFUSED, FAILED):
             refusals[f"{call.outcome}: {call.code}"[:80]] += 1
     counts.refusals = dict(refusals)
-    counts.session_moved = sessions_moved(calls, setting)
+    counts.session_moved = len(session_moves(calls, setting.withdrawn_at))
     counts.exposed_callers = sum(
         call.outcome == ANSWERED
         and not call.good
@@ -146,14 +152,13 @@
 
 def count_outcome(counts: Counts, call: Call, truth: Truth) -> None:
     """Counts how a call ended."""
-    if call.outcome == ANSWERED and call.whole and call.own:
-        counts.answered_whole += 1
-    elif call.outcome == ANSWERED:
+    if answered_not_whole(call):
         counts.answered_not_whole += 1
+    elif call.outcome == ANSWERED:
+        counts.answered_whole += 1
     elif call.outcome == REFUSED:
         counts.refused += 1
-        if call.not_run and call.attempts == 1 and truth.ran(call):
-            counts.refused_not_run_but_ran += 1
+        counts.refused_not_run_but_ran += false_refusal(call, truth)
     else:
         counts.unanswered += 1
 
@@ -162,64 +167,27 @@
     counts: Counts, call: Call, truth: Truth, setting: Setting
 ) -> None:
     """Counts runs that no promise allows."""
+    counts.ran_twice_non_idempotent += repeated_runs(call, truth) > 0
     if call.service:
-        if not call.idempotent and truth.service_runs[call.path] > 1:
-            counts.ran_twice_non_idempotent += 1
         return
     runs = truth.runs_of(call)
-    if not call.idempotent and sum(run.first == 0 for run in runs) > 1:
-        counts.ran_twice_non_idempotent += 1
     allowed = setting.catalog.organisations[call.organisation].allowed
     names = {str(version) for version in allowed}
-    counts.disallowed_version += any(run.version not in names for run in runs)
-    for run in runs:
-        withdrawn_at = setting.withdrawn_at.get(run.version, math.inf)
-        # Continuing an answer that runs already is no new work.
-        late = run.started_at > withdrawn_at + WITHDRAWAL_LIMIT_S
-        if late and run.first == 0:
-            counts.after_withdrawal += 1
+    counts.disallowed_version += bool(disallowed_runs(runs, names))
+    counts.after_withdrawal += len(runs_after(runs, setting.withdrawn_at))
 
 
 def count_bills(counts: Counts, call: Call, truth: Truth) -> None:
-    """Counts the bills of a chat call.
-
-    A caller without a key that sends again sends another request, which has a
-    bill of its own.
-    """
-    bills = len(truth.bills_of(call))
-    expected = 1 if call.key else call.attempts
-    if bills > expected:
+    """Counts the bills of a chat call."""
+    found = billed(call, truth)
+    if found.twice:
         counts.billed_twice += 1
-    elif bills:
+    elif found.bills:
         counts.billed_once += 1
-    elif call.outcome == ANSWERED or any(
-        run.generated for run in truth.runs_of(call)
-    ):
+    elif found.missing:
         counts.unbilled += 1
 
 
-def sessions_moved(calls: Sequence[Call], setting: Setting) -> int:
-    """Counts answers on another version than the session's one before.
-
-    Concurrent first calls of a session are compared too: the order of the
-    answers does not matter, because all must have the same version. A call
-    that says why the session moved starts a new version.
-    """
-    seen: dict[tuple[str, str], set[str]] = {}
-    moved = 0
-    for call in sorted(calls, key=lambda call: call.ended_at):
-        if not call.session or call.outcome != ANSWERED:
-            continue
-        versions = seen.setdefault((call.organisation, call.session), set())
-        if call.version in versions:
-            continue
-        gone = versions <= set(setting.withdrawn_at)
-        if versions and not call.moved and not gone:
-            moved += 1
-        versions.add(call.version)
-    return moved
-
-
 def count_costs(
     counts: Counts, calls: Sequence[Call], truth: Truth, setting: Setting
 ) -> None:
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/config_race.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/config_race.py
@@ -5,12 +5,12 @@
 import random
 import time
 from collections.abc import Mapping
-from typing import Any
 
 import gevent
 
 from amaranthlug.state.records import Withdrawal
 from amaranthlug_standins.builders import make_publication
+from amaranthlug_standins.config_timeline import accepted_revisions
 from amaranthlug_standins.counts import Counts
 from amaranthlug_standins.deployments import hengyun
 from amaranthlug_standins.fleet import Fleet
@@ -122,16 +122,6 @@
         return behind
 
 
-def accepted_offsets(records: list[dict[str, Any]]) -> list[int]:
-    """Returns offsets of accepted publications, by the rule of the log."""
-    revision, accepted = -1, []
-    for record in records:
-        if record.get("type") == "publication" and record["base"] == revision:
-            revision = record["offset"]
-            accepted.append(revision)
-    return accepted
-
-
 def run(seed: int, progress: Progress) -> Mapping[str, Counts]:
     """Runs the scenario and returns counts by deployment."""
     fleet = Fleet(hengyun(), FleetOptions(seed=seed))
@@ -148,7 +138,9 @@
         acts.append(gevent.spawn(race.withdraw))
         trial.load.run(progress)
         gevent.joinall(acts, raise_error=True)
-        accepted = accepted_offsets(fleet.records())
+        accepted = [
+            found.offset for found in accepted_revisions(fleet.records())
+        ]
         behind = race.nodes_behind(accepted[-1])
         watch.kill()
         setting = trial.setting(
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
@@ -227,10 +227,15 @@
         return self.append(publication)
 
     def records(self) -> list[dict[str, Any]]:
-        """Returns all records on the log with their offsets."""
+        """Returns all records on the log with offset and time of arrival."""
         kept = self.parts["log"].seen()["records_kept"]
         return [
-            {**entry["record"], "offset": entry["offset"]} for entry in kept
+            {
+                **entry["record"],
+                "offset": entry["offset"],
+                "appended_at": entry["at"],
+            }
+            for entry in kept
         ]
 
     def node_settings(self) -> list[NodeSettings]:
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
@@ -10,6 +10,17 @@
 FAILED = "failed"
 
 
+class Try(msgspec.Struct, kw_only=True):
+    """One attempt of a call at a node."""
+
+    node: str
+    sent_at: float
+    ended_at: float
+    outcome: str
+    code: str = ""
+    not_run: bool = False
+
+
 class Call(msgspec.Struct, kw_only=True):
     """One request of a caller, with all its attempts.
 
@@ -27,7 +38,7 @@
         outcome: `answered`, `refused` or `failed`.
         code: Refusal code, or the error of a failure.
         moved: Header `X-Session-Moved`.
-        sent: The request may have left in some attempt.
+        tries: Its attempts in order.
     """
 
     number: int
@@ -62,6 +73,7 @@
     own: bool = False
     whole: bool = False
     good: bool = False
+    tries: list[Try] = []
 
 
 def write_history(path: pathlib.Path, calls: Iterable[Call]) -> None:
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/log.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/log.py
@@ -36,11 +36,17 @@
 
 @dataclasses.dataclass
 class Kept:
-    """A record with its time of arrival on the monotonic clock."""
+    """A record with its time of arrival.
+
+    Attributes:
+        at: On the monotonic clock, for retention.
+        unix_s: On the wall clock, for checks.
+    """
 
     offset: int
     at: float
     record: dict[str, Any]
+    unix_s: float = 0.0
 
 
 class LogStandIn(StandIn):
@@ -73,7 +79,11 @@
         return {
             **self.counts,
             "records_kept": [
-                {"offset": kept.offset, "record": kept.record}
+                {
+                    "offset": kept.offset,
+                    "record": kept.record,
+                    "at": kept.unix_s,
+                }
                 for kept in self.kept
             ],
         }
@@ -95,7 +105,8 @@
         now = time.monotonic()
         offsets = []
         for record in records:
-            self.kept.append(Kept(self.next_offset, now, record))
+            kept = Kept(self.next_offset, now, record, time.time())
+            self.kept.append(kept)
             offsets.append(self.next_offset)
             self.next_offset += 1
         self.counts["appends"] += 1
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/trial.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/trial.py
@@ -10,6 +10,12 @@
 from amaranthlug_standins.fleet import Fleet
 from amaranthlug_standins.history import ANSWERED
 from amaranthlug_standins.load import Load, Mix
+from amaranthlug_standins.run_history import (
+    Act,
+    History,
+    Recording,
+    RevisionSeen,
+)
 from amaranthlug_standins.truth import Truth
 
 SETTLE_LIMIT_S = 8.0
@@ -32,6 +38,8 @@
     seed: int
     fleet: Fleet
     load: Load
+    acts: list[Act] = dataclasses.field(default_factory=list)
+    revisions: list[RevisionSeen] = dataclasses.field(default_factory=list)
 
     @classmethod
     def from_mix(
@@ -59,7 +67,10 @@
         """Reads the ground truth."""
         fleet = self.fleet
         return Truth.collect(
-            [engine.seen() for engine in fleet.engines],
+            [
+                {**engine.seen(), "upstream": engine.reached_at}
+                for engine in fleet.engines
+            ],
             [service.seen() for service in fleet.services],
             fleet.records(),
         )
@@ -79,9 +90,24 @@
                 return truth
             gevent.sleep(SETTLE_POLL_S)
 
+    def history(self, truth: Truth) -> History:
+        """Returns the recorded history for the rules."""
+        return History.from_truth(
+            self.load.calls,
+            truth,
+            self.fleet.records(),
+            scenario=self.scenario,
+            deployment=self.fleet.deployment.name,
+            seed=self.seed,
+            acts=self.acts,
+            revisions=self.revisions,
+        )
+
     def finish(self, setting: Setting | None = None) -> Counts:
         """Waits for the bills and counts the run."""
         truth = self.settle()
+        if Recording.current is not None:
+            Recording.current.histories.append(self.history(truth))
         return count(
             self.scenario,
             self.seed,
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/truth.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/truth.py
@@ -12,7 +12,11 @@
 
 
 class EngineRun(msgspec.Struct, kw_only=True):
-    """One run that an engine saw; `first` above 0 continues another."""
+    """One run that an engine saw; `first` above 0 continues another.
+
+    Attributes:
+        upstream: Address of the engine in the configuration, if known.
+    """
 
     request_id: str
     version: str
@@ -24,6 +28,7 @@
     started_at: float = 0.0
     first_at: float = 0.0
     ended_at: float = 0.0
+    upstream: str = ""
 
 
 @dataclasses.dataclass
@@ -54,6 +59,7 @@
         for engine in engines:
             for raw in engine["runs"]:
                 run = msgspec.convert(raw, EngineRun)
+                run.upstream = engine.get("upstream", "")
                 truth.runs.setdefault(run.digest, []).append(run)
         for runs in truth.runs.values():
             runs.sort(key=lambda run: run.started_at)
--- a/packages/amaranthlug-ui/src/amaranthlug_ui/experiment.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/experiment.py
@@ -3,6 +3,7 @@
 import dataclasses
 import importlib
 import json
+import pathlib
 import sys
 from typing import Any
 
@@ -44,7 +45,15 @@
 @click.argument("name")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="One JSON object last.")
-def run_scenario(name: str, seed: int, as_json: bool) -> None:
+@click.option(
+    "--history",
+    "history_file",
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    help="Add the recorded histories to this file.",
+)
+def run_scenario(
+    name: str, seed: int, as_json: bool, history_file: pathlib.Path | None
+) -> None:
     """Run the experiment NAME; exits with 1 if a promise is broken."""
     scenarios = load_standins("experiments").SCENARIOS
     if name not in scenarios:
@@ -53,8 +62,14 @@
             f"{', '.join(scenarios)}"
         )
     scenario = scenarios[name]
-    with ProgressBar(scenario.length_s, name) as step:
+    histories = load_standins("run_history")
+    with (
+        histories.Recording() as recording,
+        ProgressBar(scenario.length_s, name) as step,
+    ):
         counts = scenario.run(seed, step)
+    if history_file is not None:
+        histories.append_histories(history_file, recording.histories)
     if as_json:
         found = {key: dataclasses.asdict(item) for key, item in counts.items()}
         click.echo(json.dumps(found))
--- a/packages/amaranthlug-ui/src/amaranthlug_ui/main.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/main.py
@@ -83,6 +83,7 @@
     lazy_modules: ClassVar[dict[str, str]] = {
         "experiment": "amaranthlug_ui.experiment",
         "demo": "amaranthlug_ui.demo",
+        "history": "amaranthlug_ui.history",
     }
 
 
