--- a/packages/amaranthlug-standins/src/amaranthlug_standins/caller.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/caller.py
@@ -10,7 +10,13 @@
 
 from amaranthlug_standins import answers
 from amaranthlug_standins.entry_book import EntryBook, NoEntryError
-from amaranthlug_standins.history import ANSWERED, FAILED, REFUSED, Call
+from amaranthlug_standins.history import (
+    ANSWERED,
+    FAILED,
+    REFUSED,
+    Call,
+    Try,
+)
 from amaranthlug_standins.http_json import BROKEN
 
 MAX_ATTEMPTS = 4
@@ -35,18 +41,23 @@
 
 
 class Clients:
-    """Connection pools of the callers by address."""
+    """Connection pools of the callers by address.
+
+    Attributes:
+        via: Addresses to connect to in place of others, for fault proxies.
+    """
 
     def __init__(self, limit_s: float):
         """Creates pools; `limit_s` bounds the silence of a connection."""
         self.limit_s = limit_s
+        self.via: dict[str, str] = {}
         self.by_address: dict[str, HTTPClient] = {}
 
     def get(self, address: str) -> HTTPClient:
         """Returns the pool of an address."""
         if address not in self.by_address:
             self.by_address[address] = HTTPClient.from_url(
-                f"http://{address}",
+                f"http://{self.via.get(address, address)}",
                 concurrency=512,
                 connection_timeout=CONNECT_LIMIT_S,
                 network_timeout=self.limit_s,
@@ -110,6 +121,23 @@
     def attempt(self, avoid: str) -> None:
         """Sends the request once and records what came back."""
         call = self.call
+        sent_at = time.time()
+        self.send(avoid)
+        refused = call.outcome == REFUSED
+        call.tries.append(
+            Try(
+                node=call.node,
+                sent_at=sent_at,
+                ended_at=time.time(),
+                outcome=call.outcome,
+                code="" if call.outcome == ANSWERED else call.code,
+                not_run=refused and call.not_run,
+            )
+        )
+
+    def send(self, avoid: str) -> None:
+        """Sends the request to a node and takes its reply."""
+        call = self.call
         try:
             call.node = self.book.address(avoid)
             self.exchange(self.clients.get(call.node))
