Let a node halt at once

Cause: tests in one process reached into a node's parts to end it. Change: Node.halt ends all work as the loss of the process does; stop uses it.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
@@ -103,11 +103,7 @@
         if self.child is not None:
             self.child.kill()
         if self.node is not None:
-            parts = self.node.fleet
-            parts.timers.stop()
-            parts.follower.stop()
-            parts.writer.stop()
-            self.node.server.stop(timeout=0)
+            self.node.halt()
 
 
 def free_ports(count: int) -> list[int]:
--- a/packages/amaranthlug/src/amaranthlug/node.py
+++ b/packages/amaranthlug/src/amaranthlug/node.py
@@ -19,6 +19,9 @@
 HAND_OVER_LIMIT_S = 10.0
 """Longest wait for other nodes to take this node's slots, in seconds."""
 
+SLOTS_SHOWN = 66
+"""Slots of keys, of the roll-out driver and of the snapshot writer."""
+
 FLUSH_LIMIT_S = 10.0
 """Longest wait for the log during a shutdown, in seconds; bills that it did
 not take by then are with the holders of copies."""
@@ -108,11 +111,15 @@
             self.server.drain()
         self.fleet.biller.flush(FLUSH_LIMIT_S)
         self.leave()
+        self.halt()
+        log.info("node %s has left", self.fleet.me.incarnation)
+
+    def halt(self) -> None:
+        """Ends all work at once, as the loss of the process does."""
         self.fleet.timers.stop()
         self.fleet.follower.stop()
         self.fleet.writer.stop()
-        self.server.stop(timeout=1)
-        log.info("node %s has left", self.fleet.me.incarnation)
+        self.server.stop(timeout=0)
 
     def hand_over_slots(self) -> None:
         """Waits until other nodes own this node's slots."""
@@ -157,7 +164,3 @@
             "leases": slots.owned_slots(range(SLOTS_SHOWN)),
             "log_backlog": fleet.writer.backlog(),
         }
-
-
-SLOTS_SHOWN = 66
-"""Slots of keys, of the roll-out driver and of the snapshot writer."""
