Build all refusals in one place

Cause: five modules built refusals, each repeating the HTTP status of a code. Change: state/refusal.py holds the status of each code and refuse(); the builders of slots, choice, limits and configuration call it.

--- a/packages/amaranthlug/src/amaranthlug/coordination/config_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/config_view.py
@@ -19,7 +19,7 @@
 from amaranthlug.state.catalog import Catalog, VersionId
 from amaranthlug.state.publications import ConfigState, apply_entry
 from amaranthlug.state.records import ConfigSnapshot, LogEntry, Withdrawal
-from amaranthlug.state.refusal import Refusal, RefusalCode
+from amaranthlug.state.refusal import Refusal, RefusalCode, refuse
 from amaranthlug.state.rendezvous import rendezvous_order
 from amaranthlug.state.withdrawals import Withdrawals
 
@@ -105,10 +105,11 @@
         """
         if self.state.revision < 0:
             return Err(
-                refusal(
+                refuse(
                     RefusalCode.NO_CONFIGURATION,
                     "no configuration is in force on this node",
                     "publish one, or retry at another node",
+                    retry_after_s=RETRY_AFTER_S,
                 )
             )
         age_s = self.feed.confirmed_age()
@@ -125,10 +126,11 @@
 
     def unconfirmed(self, message: str) -> Refusal:
         """Returns the refusal of a node that may be out of date."""
-        return refusal(
+        return refuse(
             RefusalCode.UNCONFIRMED_CONFIGURATION,
             message,
             "retry at another node; check this node's network",
+            retry_after_s=RETRY_AFTER_S,
         )
 
     # Fold of the log
@@ -265,8 +267,3 @@
                 if self.withdrawals.is_withdrawn(name)
             ),
         }
-
-
-def refusal(code: RefusalCode, message: str, remedy: str) -> Refusal:
-    """Returns a refusal before dispatch with status 503."""
-    return Refusal(code, message, remedy, 503, True, RETRY_AFTER_S)
--- a/packages/amaranthlug/src/amaranthlug/coordination/limits.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/limits.py
@@ -26,7 +26,7 @@
     RowTable,
 )
 from amaranthlug.state.records import BillChunk, LogEntry
-from amaranthlug.state.refusal import Refusal, RefusalCode
+from amaranthlug.state.refusal import Refusal, RefusalCode, refuse
 from amaranthlug.state.rendezvous import rendezvous_order
 from amaranthlug.state.shares import (
     Bucket,
@@ -187,11 +187,11 @@
     ) -> Refusal | None:
         """Returns why a request cannot be admitted, None when it can."""
         if self.is_over_fair_part(state):
-            return refusal(
+            return refuse(
                 RefusalCode.OVERLOADED,
                 "this node is busy and the organisation uses its part of it",
                 "retry at another node",
-                1.0,
+                retry_after_s=1.0,
             )
         self.note_alone(now)
         limits = organisation.limits
@@ -361,21 +361,9 @@
 
 def exceeded(key: str, limit: float, wait_s: float) -> Refusal:
     """Returns the refusal of a request above a limit."""
-    return refusal(
+    return refuse(
         RefusalCode.LIMIT_EXCEEDED,
         f"the limit {key} of {limit:g} over all nodes is reached",
         f"send less, or ask the operator to raise {key}",
-        min(max(wait_s, 1.0), LONGEST_RETRY_S),
-        429,
+        retry_after_s=min(max(wait_s, 1.0), LONGEST_RETRY_S),
     )
-
-
-def refusal(
-    code: RefusalCode,
-    message: str,
-    remedy: str,
-    wait_s: float,
-    status: int = 503,
-) -> Refusal:
-    """Returns a refusal before dispatch."""
-    return Refusal(code, message, remedy, status, True, wait_s)
--- a/packages/amaranthlug/src/amaranthlug/protocol/admission.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/admission.py
@@ -6,7 +6,6 @@
 
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.protocol.pace import Pace
-from amaranthlug.protocol.refusals import refuse
 from amaranthlug.protocol.services import (
     Biller,
     CatalogView,
@@ -14,7 +13,7 @@
     RoutedRequest,
 )
 from amaranthlug.state.catalog import Organisation
-from amaranthlug.state.refusal import Refusal, RefusalCode
+from amaranthlug.state.refusal import Refusal, RefusalCode, refuse
 
 OVERLOAD_RETRY_S = 1.0
 """Wait asked of callers at the in-flight bound; most answers end by then."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/chat.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/chat.py
@@ -10,10 +10,9 @@
 import xxhash
 from result import Err, Ok, Result
 
-from amaranthlug.protocol.refusals import refuse
 from amaranthlug.protocol.services import RoutedRequest
 from amaranthlug.state.catalog import Catalog, Organisation, RequestKind
-from amaranthlug.state.refusal import Refusal, RefusalCode
+from amaranthlug.state.refusal import Refusal, RefusalCode, refuse
 
 DEFAULT_KIND = "default"
 """Kind of requests without the header `X-Request-Kind`, if configured."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/choice_refusals.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/choice_refusals.py
@@ -1,6 +1,6 @@
 """Refusals of the choice of versions and servers."""
 
-from amaranthlug.state.refusal import Refusal, RefusalCode
+from amaranthlug.state.refusal import Refusal, RefusalCode, refuse
 
 RETRY_EXHAUSTED_S = 1.0
 """Wait after which a full pool may have room again, in seconds."""
@@ -11,22 +11,20 @@
 
 def not_allowed(model: str) -> Refusal:
     """Returns the refusal of a model that an organisation may not use."""
-    return Refusal(
+    return refuse(
         RefusalCode.VERSION_NOT_ALLOWED,
         f"the organisation may not use {model!r}",
         "use `auto` or ask the operator to allow the version",
-        403,
         not_run=True,
     )
 
 
 def no_version(model: str) -> Refusal:
     """Returns the refusal when all allowed versions are withdrawn."""
-    return Refusal(
+    return refuse(
         RefusalCode.NO_VERSION,
         f"no version in service fits the request for {model!r}",
         "use `auto`, shorten the prompt or wait for another version",
-        503,
         not_run=True,
         retry_after_s=RETRY_WITHDRAWN_S,
     )
@@ -34,11 +32,10 @@
 
 def pools_exhausted(versions: list[str]) -> Refusal:
     """Returns the refusal when all suitable pools are full."""
-    return Refusal(
+    return refuse(
         RefusalCode.POOL_EXHAUSTED,
         f"no free server for {', '.join(versions)}",
         "retry after the given time or add servers to the pool",
-        503,
         not_run=True,
         retry_after_s=RETRY_EXHAUSTED_S,
     )
@@ -46,10 +43,9 @@
 
 def poisoned(not_run: bool) -> Refusal:
     """Returns the refusal of a request that crashes upstreams."""
-    return Refusal(
+    return refuse(
         RefusalCode.POISONED_REQUEST,
         "this request crashed two upstream servers",
         "change the request; it is accepted again after 10 minutes",
-        422,
         not_run=not_run,
     )
--- a/packages/amaranthlug/src/amaranthlug/protocol/dispatch.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/dispatch.py
@@ -17,7 +17,6 @@
 )
 from amaranthlug.protocol.chat import CallerHeaders, output_limit, parse_chat
 from amaranthlug.protocol.poison import Suspects, poison_digest
-from amaranthlug.protocol.refusals import refuse
 from amaranthlug.protocol.relay import replay_events
 from amaranthlug.protocol.sender import Sender, StepRun
 from amaranthlug.protocol.services import (
@@ -33,7 +32,7 @@
 )
 from amaranthlug.protocol.settlement import Settlement, run_scope
 from amaranthlug.state.catalog import VersionId
-from amaranthlug.state.refusal import Refusal, RefusalCode
+from amaranthlug.state.refusal import Refusal, RefusalCode, refuse
 
 log = logging.getLogger(__name__)
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -12,7 +12,6 @@
 from amaranthlug.protocol.chat import output_limit
 from amaranthlug.protocol.pace import Pace
 from amaranthlug.protocol.poison import Suspects, poison_digest
-from amaranthlug.protocol.refusals import refuse
 from amaranthlug.protocol.relay import AnswerMeter
 from amaranthlug.protocol.retry_budget import RetryBudget
 from amaranthlug.protocol.services import (
@@ -23,7 +22,7 @@
 )
 from amaranthlug.protocol.upstream import Engine, EngineCall, UpstreamError
 from amaranthlug.state.catalog import Upstream, VersionId
-from amaranthlug.state.refusal import Refusal, RefusalCode
+from amaranthlug.state.refusal import Refusal, RefusalCode, refuse
 
 MAX_ATTEMPTS = 3
 """Attempts of a step before its first token."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/service_calls.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/service_calls.py
@@ -18,7 +18,6 @@
     check_headers,
     request_id_of,
 )
-from amaranthlug.protocol.refusals import refuse
 from amaranthlug.protocol.retry_budget import RetryBudget
 from amaranthlug.protocol.services import (
     CatalogView,
@@ -37,7 +36,7 @@
     ServiceRoute,
     Upstream,
 )
-from amaranthlug.state.refusal import Refusal, RefusalCode
+from amaranthlug.state.refusal import Refusal, RefusalCode, refuse
 
 MAX_ATTEMPTS = 3
 """Attempts of a call."""
--- a/test/_fakes.py
+++ b/test/_fakes.py
@@ -13,7 +13,6 @@
 from amaranthlug.protocol.dispatch import Dispatcher
 from amaranthlug.protocol.pace import Pace
 from amaranthlug.protocol.poison import NoSuspects
-from amaranthlug.protocol.refusals import refuse
 from amaranthlug.protocol.retry_budget import RetryBudget
 from amaranthlug.protocol.sender import Sender
 from amaranthlug.protocol.services import Plan, PlanStep, RunTicket
@@ -29,7 +28,7 @@
     Version,
     VersionId,
 )
-from amaranthlug.state.refusal import RefusalCode
+from amaranthlug.state.refusal import RefusalCode, refuse
 from amaranthlug.transport.statsd_metrics import StatsdMetrics
 
 KEY = "key-of-alfama"
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -19,9 +19,8 @@
 )
 
 from amaranthlug.protocol.chat import CallerHeaders
-from amaranthlug.protocol.refusals import refuse
 from amaranthlug.protocol.services import PlanStep
-from amaranthlug.state.refusal import RefusalCode
+from amaranthlug.state.refusal import RefusalCode, refuse
 
 WHOLE = "".join(word + " " for word in WORDS)
 TAG = CallerHeaders(f"Bearer {KEY}", "tag")
--- a/test/test_server.py
+++ b/test/test_server.py
@@ -11,8 +11,7 @@
 from gevent import socket
 from geventhttpclient import HTTPClient
 
-from amaranthlug.protocol.refusals import refuse
-from amaranthlug.state.refusal import RefusalCode
+from amaranthlug.state.refusal import RefusalCode, refuse
 
 WHOLE = "".join(word + " " for word in WORDS)
 CALLER = {"Authorization": f"Bearer {KEY}", "X-Request-Kind": "describe"}
