Test that a claiming successor refuses the owner

Cause: of four deliberate faults in a scratch copy, one (a claiming successor goes on promising and copying) passed the tests of slots and keys. Change: a test of the refusal of promises and copies during a claim.

--- a/test/test_slots.py
+++ b/test/test_slots.py
@@ -83,6 +83,33 @@
     assert sum(acting(fleet).values()) == ALL_SLOTS
 
 
+def test_successor_that_claims_refuses_the_owner():
+    """A renewal or a copy after a claim would let two owners acknowledge."""
+    fleet = Fleet(4)
+    fleet.run(25)
+    owner = fleet.nodes["n1"]
+    lease = owner.slots.fold.owned_by(owner.me.incarnation)[0]
+    successor = next(
+        node
+        for node in fleet.nodes.values()
+        if node.me.incarnation in lease.successors
+    ).slots
+    for claiming in (False, True):
+        if claiming:
+            successor.claiming.add(lease.slot)
+        message = {
+            "incarnation": owner.me.incarnation,
+            "slots": {lease.slot: lease.offset},
+            "slot": lease.slot,
+            "offset": lease.offset,
+            "tables": {},
+        }
+        granted = successor.on_promise(message)["granted"]
+        assert (lease.slot in granted) != claiming
+        assert successor.on_slot_copy(message)["ok"] != claiming
+        assert owner.slots.replicate(lease.slot, "runs", {}) != claiming
+
+
 def test_slots_go_on_while_the_log_is_out():
     """An hour without the log must not stop keyed requests."""
     fleet = Fleet(4)
