--- a/packages/amaranthlug/src/amaranthlug/state/quality_test.py
+++ b/packages/amaranthlug/src/amaranthlug/state/quality_test.py
@@ -12,8 +12,9 @@
 WORSE_BY = (0.3, 0.6, 0.9)
 """Alternatives: this part of the good outcomes has turned bad."""
 
-FALSE_ALARM = 0.001
-"""Bound of the probability that a good unproven version is withdrawn."""
+FALSE_ALARM = 0.004
+"""Bound of the probability that a good unproven version is withdrawn. It must
+stay below 1 in 200; a smaller one costs more callers of bad versions."""
 
 HORIZON = 100_000
 """Outcomes of a proven version over which `FALSE_ALARM` holds. Its test
