Add a soak of random fault mixes over real processes

Failures were tried one at a time and by hand. make_plan draws two to four faults by seed, FaultInjection carries them out on 4 nodes in 3 zones, and soak.py checks each history with all rules and keeps a replayable plan, history and logs of a seed that broke a promise.

--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/soak.py
@@ -0,0 +1,205 @@
+"""Random mixes of faults over real processes, each history checked.
+
+`python -m amaranthlug_standins.soak --seeds 20` runs seeds 1 to 20; a seed
+with violations leaves `soak-SEED.json`, which `--replay` runs again, the
+history `soak-SEED.jsonl`, which `amaranthlug history check` reads, and what the
+nodes logged, `soak-SEED.log`.
+"""
+
+import collections
+import dataclasses
+import pathlib
+import sys
+import time
+
+import click
+import gevent
+import msgspec
+
+from amaranthlug.state.catalog import Pool
+from amaranthlug_standins.config_timeline import accepted_revisions
+from amaranthlug_standins.deployments import Deployment, hengyun
+from amaranthlug_standins.fleet import Fleet
+from amaranthlug_standins.fleet_parts import FleetOptions
+from amaranthlug_standins.history_rules import (
+    CONFIG_LIMIT_S,
+    Checked,
+    billed_once,
+    check_history,
+)
+from amaranthlug_standins.mixes import sample_mix
+from amaranthlug_standins.run_history import (
+    History,
+    RevisionSeen,
+    append_histories,
+)
+from amaranthlug_standins.soak_faults import EXIT_LIMIT_S, FaultInjection
+from amaranthlug_standins.soak_plan import LOAD_S, Plan, make_plan
+from amaranthlug_standins.trial import Trial
+
+NODES = 4
+ZONES = 3
+ENGINES = 5
+SERVICES = 2
+RATE = 18.0
+SETTLE_LIMIT_S = 18.0
+"""Longest wait for bills: 8 s until a node is gone, then chunk periods of 2 s
+and the log's backlog after an outage."""
+
+WATCH_S = 0.4
+
+
+def small_deployment() -> Deployment:
+    """Returns a sample deployment with fewer VMs."""
+    whole = hengyun()
+    parts = {path: dict(body) for path, body in whole.parts.items()}
+    pools: dict[str, Pool] = {}
+    for name, pool in whole.catalog.pools.items():
+        count = ENGINES if pool.engine else SERVICES
+        pools[name] = dataclasses.replace(
+            pool, upstreams=pool.upstreams[:count]
+        )
+        path = f"pools/{name}"
+        parts[path]["upstreams"] = parts[path]["upstreams"][:count]
+    return dataclasses.replace(
+        whole,
+        zones=whole.zones[:ZONES],
+        nodes=NODES,
+        catalog=dataclasses.replace(whole.catalog, pools=pools),
+        parts=parts,
+    )
+
+
+def watch(trial: Trial, place: int) -> None:
+    """Records the revisions of one node for good."""
+    while True:
+        gevent.sleep(WATCH_S)
+        node = trial.fleet.nodes[place]
+        if node.child is None or not node.child.running():
+            continue
+        asked_at = time.time()
+        status = node.status()
+        if status is not None:
+            trial.revisions.append(
+                RevisionSeen(
+                    at=asked_at,
+                    node=node.address,
+                    incarnation=status["incarnation"],
+                    revision=int(status["revision"]),
+                )
+            )
+
+
+def settled(trial: Trial) -> History:
+    """Returns the history once bills and revisions are there, or late."""
+    started = time.monotonic()
+    while True:
+        history = trial.history(trial.truth())
+        waited_s = time.monotonic() - started
+        behind = waited_s < CONFIG_LIMIT_S and nodes_behind(history)
+        missing = waited_s < SETTLE_LIMIT_S and billed_once(history)
+        if not (behind or missing):
+            return history
+        gevent.sleep(0.5)
+
+
+def nodes_behind(history: History) -> bool:
+    """Tells whether the newest sight of a node lacks the last revision."""
+    last = accepted_revisions(history.records)[-1].offset
+    newest = {seen.node: seen.revision for seen in history.revisions}
+    return any(revision < last for revision in newest.values())
+
+
+@dataclasses.dataclass(frozen=True)
+class SoakRun:
+    """History of a run and what its nodes logged."""
+
+    history: History
+    logs: str
+
+
+def run_plan(plan: Plan) -> SoakRun:
+    """Runs one plan on a deployment of its own."""
+    deployment = small_deployment()
+    options = FleetOptions(seed=plan.seed, faults=True)
+    with Fleet(deployment, options) as fleet:
+        fleet.start()
+        mix = sample_mix(deployment, RATE, LOAD_S)
+        trial = Trial.from_mix("soak", plan.seed, fleet, mix)
+        watches = [gevent.spawn(watch, trial, i) for i in range(NODES)]
+        injection = FaultInjection(trial)
+        faults = [gevent.spawn(injection.run, item) for item in plan.faults]
+        trial.load.run()
+        gevent.joinall(faults, timeout=EXIT_LIMIT_S, raise_error=True)
+        history = settled(trial)
+        gevent.killall([*watches, *faults])
+        return SoakRun(history, node_logs(fleet))
+
+
+def node_logs(fleet: Fleet) -> str:
+    """Returns what the node processes of a fleet logged."""
+    texts = []
+    for child in fleet.children:
+        text = child.log_file.read_text()
+        if child.name not in fleet.parts and text:
+            texts.append(f"== {child.name}\n{text}")
+    return "\n".join(texts)
+
+
+def run_seed(plan: Plan, out: pathlib.Path) -> Checked:
+    """Runs a plan, prints its result and keeps what failed."""
+    started = time.monotonic()
+    run = run_plan(plan)
+    checked = check_history(run.history)
+    outcomes = collections.Counter(
+        call.outcome for call in checked.history.calls
+    )
+    codes = collections.Counter(
+        call.code for call in checked.history.calls if call.code
+    )
+    faults = ", ".join(
+        f"{item.kind}@{item.at_s:.1f}+{item.length_s:.1f}"
+        for item in plan.faults
+    )
+    click.echo(
+        f"seed {plan.seed} [{faults}] {dict(outcomes)} {dict(codes)} "
+        f"{len(checked.violations)} violations, "
+        f"{time.monotonic() - started:.0f} s"
+    )
+    for line in checked.report():
+        click.echo(f"  {line}")
+    if checked.violations:
+        out.mkdir(parents=True, exist_ok=True)
+        name = f"soak-{plan.seed}"
+        (out / f"{name}.json").write_bytes(msgspec.json.encode(plan))
+        (out / f"{name}.jsonl").unlink(missing_ok=True)
+        (out / f"{name}.log").write_text(run.logs)
+        append_histories(out / f"{name}.jsonl", [checked.history])
+    return checked
+
+
+@click.command()
+@click.option("--seeds", default=20, show_default=True, help="How many.")
+@click.option("--first", default=1, show_default=True, help="First seed.")
+@click.option("--replay", type=click.Path(exists=True, path_type=pathlib.Path))
+@click.option("--out", default="out", type=click.Path(path_type=pathlib.Path))
+def main(
+    seeds: int, first: int, replay: pathlib.Path | None, out: pathlib.Path
+) -> None:
+    """Runs seeds one after another; exits with 1 if a promise broke."""
+    if replay is not None:
+        plans = [msgspec.json.decode(replay.read_bytes(), type=Plan)]
+    else:
+        plans = [make_plan(seed) for seed in range(first, first + seeds)]
+    broken = [
+        str(plan.seed) for plan in plans if run_seed(plan, out).violations
+    ]
+    click.echo(
+        f"{len(plans) - len(broken)} of {len(plans)} seeds without violations"
+        + (f"; with violations: {', '.join(broken)}" if broken else "")
+    )
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
