Treat a peer connection that closes without an answer as an error

A killed peer's connection ends before an answer, which the HTTP client reports by HTTPConnectionClosed; that is no OSError, so it ended the tasks that copy bills for good and failed requests with 'internal'; calls then hung 15 s. HttpPeerLink now returns a PeerError for it. The new test failed before the change and passes now.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/soak.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/soak.py
@@ -146,7 +146,7 @@
     return "\n".join(texts)
 
 
-def run_seed(plan: Plan, out: pathlib.Path) -> Checked:
+def run_seed(plan: Plan, out: pathlib.Path, keep: bool) -> Checked:
     """Runs a plan, prints its result and keeps what failed."""
     started = time.monotonic()
     run = run_plan(plan)
@@ -168,7 +168,7 @@
     )
     for line in checked.report():
         click.echo(f"  {line}")
-    if checked.violations:
+    if checked.violations or keep:
         out.mkdir(parents=True, exist_ok=True)
         name = f"soak-{plan.seed}"
         (out / f"{name}.json").write_bytes(msgspec.json.encode(plan))
@@ -183,8 +183,13 @@
 @click.option("--first", default=1, show_default=True, help="First seed.")
 @click.option("--replay", type=click.Path(exists=True, path_type=pathlib.Path))
 @click.option("--out", default="out", type=click.Path(path_type=pathlib.Path))
+@click.option("--keep", is_flag=True, help="Keep files of all seeds.")
 def main(
-    seeds: int, first: int, replay: pathlib.Path | None, out: pathlib.Path
+    seeds: int,
+    first: int,
+    replay: pathlib.Path | None,
+    out: pathlib.Path,
+    keep: bool,
 ) -> None:
     """Runs seeds one after another; exits with 1 if a promise broke."""
     if replay is not None:
@@ -192,7 +197,7 @@
     else:
         plans = [make_plan(seed) for seed in range(first, first + seeds)]
     broken = [
-        str(plan.seed) for plan in plans if run_seed(plan, out).violations
+        str(plan.seed) for plan in plans if run_seed(plan, out, keep).violations
     ]
     click.echo(
         f"{len(plans) - len(broken)} of {len(plans)} seeds without violations"
--- a/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
@@ -3,6 +3,7 @@
 import json
 from collections import OrderedDict
 from collections.abc import Mapping
+from http.client import HTTPException
 from typing import Any
 
 import gevent
@@ -17,6 +18,10 @@
 IDLE_PER_PEER = 4
 """Idle connections kept per peer; more are closed after use."""
 
+BROKEN = (OSError, HTTPException)
+"""Errors of a connection; one that closes before an answer, as that of a
+killed process does, raises a subclass of `HTTPException`."""
+
 PEERS_POOLED = 64
 """Peers with idle connections; the least recently used is closed beyond."""
 
@@ -74,7 +79,7 @@
         if client is not None:
             try:
                 return self.exchange(client, address, name, body, auth)
-            except OSError:
+            except BROKEN:
                 # The process may have acted before its connection broke.
                 untried = False
                 self.metrics.incr("retried.peer_connection")
@@ -83,7 +88,7 @@
             return self.exchange(fresh, address, name, body, auth)
         except ConnectionRefusedError as error:
             return Err(PeerError(address, f"{name}: {error}", untried))
-        except (OSError, ValueError) as error:
+        except (*BROKEN, ValueError) as error:
             return Err(PeerError(address, f"{name}: {error}"))
 
     def exchange(
--- a/test/test_peer_messages.py
+++ b/test/test_peer_messages.py
@@ -6,6 +6,7 @@
 import pytest
 from gevent import pywsgi
 from gevent.pool import Pool
+from gevent.server import StreamServer
 
 from amaranthlug.coordination.peers import PeerHandlers
 from amaranthlug.state.members import Member
@@ -72,6 +73,15 @@
     assert sent["control.bytes_received"] == got["control.bytes_sent"]
 
 
+def test_peer_that_closes_without_an_answer_is_an_error():
+    """A killed peer ended the tasks that copy bills and failed requests."""
+    server = StreamServer(("127.0.0.1", 0), lambda sock, _: sock.recv(1))
+    server.start()
+    reply = link().call(f"127.0.0.1:{server.server_port}", "echo", {}, 2.0)
+    server.stop()
+    assert reply.is_err() and not reply.err_value.not_received
+
+
 @pytest.mark.parametrize(
     ("keys", "accepted"),
     [({"k1": "old"}, True), ({"k1": "bad"}, False), ({"k3": "x"}, False)],
