--- a/test/test_peer_messages.py
+++ b/test/test_peer_messages.py
@@ -6,6 +6,7 @@
 import pytest
 from gevent import pywsgi
 from gevent.pool import Pool
+from gevent.server import StreamServer
 
 from amaranthlug.coordination.peers import PeerHandlers
 from amaranthlug.state.members import Member
@@ -72,6 +73,15 @@
     assert sent["control.bytes_received"] == got["control.bytes_sent"]
 
 
+def test_peer_that_closes_without_an_answer_is_an_error():
+    """A killed peer ended the tasks that copy bills and failed requests."""
+    server = StreamServer(("127.0.0.1", 0), lambda sock, _: sock.recv(1))
+    server.start()
+    reply = link().call(f"127.0.0.1:{server.server_port}", "echo", {}, 2.0)
+    server.stop()
+    assert reply.is_err() and not reply.err_value.not_received
+
+
 @pytest.mark.parametrize(
     ("keys", "accepted"),
     [({"k1": "old"}, True), ({"k1": "bad"}, False), ({"k3": "x"}, False)],
@@ -128,6 +138,30 @@
     again.server.stop()
 
 
+@pytest.mark.parametrize("answer", [b"", b"garbage\r\n\r\n", b"HTTP/1.1 2"])
+def test_cut_or_malformed_reply_is_an_error(answer):
+    """An exception would end the task that sent the message."""
+
+    def handle(sock, _):
+        sock.recv(65_536)
+        sock.sendall(answer)
+        sock.close()
+
+    server = StreamServer(("127.0.0.1", 0), handle)
+    server.start()
+    address = f"127.0.0.1:{server.server_port}"
+    reply = link().call(address, "echo", {}, 2.0)
+    assert not reply.err_value.not_received
+    server.stop()
+
+
+def test_limit_of_the_caller_is_not_swallowed(served):
+    """A shutdown with a limit must not wait for a silent peer."""
+    served.handlers.register("slow", lambda message: gevent.sleep(1) or {})
+    with pytest.raises(gevent.Timeout), gevent.Timeout(0.05):
+        link().call(served.address, "slow", {}, 2.0)
+
+
 def test_silent_peer_times_out_and_its_connection_is_dropped(served):
     """A late reply must not be taken for the reply to the next message."""
 
