--- a/packages/amaranthlug-standins/src/amaranthlug_standins/demo.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/demo.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from amaranthlug.state.catalog import MICRO_UNITS
-from amaranthlug.state.settings import Timings
 from amaranthlug_standins.batch import Pace
 from amaranthlug_standins.counts import Counts
 from amaranthlug_standins.deployments import both
@@ -25,10 +24,6 @@
 RATE = 14.0
 """Requests a second on each deployment; all run in one process."""
 
-TIMINGS = Timings(load_poll_s=1.0)
-"""One process polls for 15 nodes, so that each polls half as often."""
-
-
 PACE = Pace(step_ms=8.0, tick_ms=8.0)
 """Decode steps of all engines share one processor core here."""
 
@@ -100,9 +95,7 @@
 
 def run(seed: int, progress: Progress) -> DemoResult:
     """Runs the demo."""
-    options = FleetOptions(
-        seed=seed, processes=False, timings=TIMINGS, pace=PACE
-    )
+    options = FleetOptions(seed=seed, processes=False, pace=PACE)
     fleets = [Fleet(deployment, options) for deployment in both()]
     start_fleets(fleets)
     try:
--- a/packages/amaranthlug/src/amaranthlug/daemon.py
+++ b/packages/amaranthlug/src/amaranthlug/daemon.py
@@ -10,7 +10,6 @@
 
 import click  # noqa: E402
 import gevent  # noqa: E402
-from gevent.event import Event  # noqa: E402
 from result import Err  # noqa: E402
 
 from amaranthlug.node import Node  # noqa: E402
@@ -28,20 +27,19 @@
     help="YAML file with the settings of this node.",
 )
 def main(path: pathlib.Path) -> None:
-    """Runs a node until SIGTERM or SIGINT, then shuts down gracefully."""
+    """Runs a node until a signal or its VM's end, then drains it."""
     loaded = load_settings(path)
     if isinstance(loaded, Err):
         click.echo(str(loaded.err_value), err=True)
         sys.exit(2)
     settings = loaded.ok_value
     configure_logs(settings.name, settings.log_level)
-    asked = Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, asked.set)
     node = Node.from_settings(settings)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, node.asked_to_leave.set)
     node.start()
     settle_heap()
-    asked.wait()
+    node.asked_to_leave.wait()
     node.stop()
 
 
--- a/packages/amaranthlug/src/amaranthlug/node.py
+++ b/packages/amaranthlug/src/amaranthlug/node.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 
 from amaranthlug.parts_fleet import FleetParts
 from amaranthlug.parts_requests import ChoiceParts, RequestParts
@@ -26,6 +27,9 @@
 """Longest wait for the log during a shutdown, in seconds; bills that it did
 not take by then are with the holders of copies."""
 
+LEAVING_CHECK_S = 1.0
+"""Period in which the VM list is checked for this VM, in seconds."""
+
 CHECK_S = 0.1
 """Period of checks during a shutdown, in seconds."""
 
@@ -48,6 +52,7 @@
         self.choice = choice
         self.requests = requests
         self.leaving = False
+        self.asked_to_leave = Event()
         view = NodeView(
             settings.timings.entry_ttl_s, lambda: self.leaving, self.status
         )
@@ -91,8 +96,14 @@
             incarnation=me.incarnation,
         )
         self.fleet.writer.enqueue(joined)
+        self.fleet.timers.every("vm_leaving", LEAVING_CHECK_S, self.check_vm)
         log.info("node %s serves at %s", me.incarnation, me.address)
 
+    def check_vm(self) -> None:
+        """Asks this node to leave when the VM list says that its VM does."""
+        if self.fleet.members.vm_leaving():
+            self.asked_to_leave.set()
+
     def stop(self) -> None:
         """Shuts down without cutting a request or losing a bill.
 
--- a/packages/amaranthlug/src/amaranthlug/state/settings.py
+++ b/packages/amaranthlug/src/amaranthlug/state/settings.py
@@ -5,7 +5,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class PlatformSettings:
-    """Base URLs of the platform's services; empty when absent."""
+    """Base URLs of the platform's services; empty when absent.
+
+    Attributes:
+        log: Log service, such as `http://10.0.0.5:8080`.
+        vm_list: VM list; without it nodes join by the seeds alone.
+        rating: Rating service; without it versions keep their prior quality.
+        weights: Weight store; needed for roll-outs.
+    """
 
     log: str
     vm_list: str = ""
@@ -31,7 +38,25 @@
 
 @dataclasses.dataclass(frozen=True)
 class Timings:
-    """Periods and limits, in seconds unless the name says otherwise."""
+    """Periods and limits, in seconds.
+
+    Attributes:
+        exchange_s: Period of the exchange with two peers.
+        suspect_s: Silence after which a member is suspected.
+        gone_s: Silence after which a suspect counts as gone.
+        log_poll_s: Wait between reads of the log.
+        confirm_limit_s: Age of the last confirmation above which a node
+            without a majority refuses new work.
+        promise_s: Time for which a successor promises not to claim a slot.
+        promise_use_s: Part of the promise that the owner uses; the rest is a
+            margin for clocks that run at different speeds.
+        bill_chunk_s: Shortest period of bills on the log.
+        entry_ttl_s: Time for which callers may keep entry addresses; a
+            leaving node serves for that long.
+        session_idle_s: Idle time after which a session loses its version.
+        run_retention_s: Time for which an idempotency key is remembered.
+        drain_s: Longest wait for running requests during a shutdown.
+    """
 
     exchange_s: float = 1.0
     suspect_s: float = 4.0
@@ -41,7 +66,6 @@
     promise_s: float = 4.0
     promise_use_s: float = 3.6
     bill_chunk_s: float = 2.0
-    load_poll_s: float = 0.5
     entry_ttl_s: float = 5.0
     session_idle_s: float = 1800.0
     run_retention_s: float = 3600.0
@@ -50,7 +74,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
-    """Bounds of tables and bodies."""
+    """Bounds of tables and bodies; at a bound new work is refused.
+
+    Attributes:
+        in_flight: Requests that run at the same time on this node.
+        body_bytes: Size of a request body, in bytes.
+        pins: Session pins kept on this node.
+        runs: Idempotency keys kept on this node.
+        bill_entries: Bills that wait for the log, copies included.
+        members: Known nodes, gone ones included.
+    """
 
     in_flight: int = 2_000
     body_bytes: int = 2_000_000
@@ -62,7 +95,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class StatsdSettings:
-    """Where statsd listens; an empty host turns sending off."""
+    """Where statsd listens.
+
+    Attributes:
+        host: Host of the statsd daemon; empty turns sending off.
+        port: UDP port.
+        prefix: First part of each metric's name.
+    """
 
     host: str = ""
     port: int = 8125
@@ -78,7 +117,14 @@
         address: `host:port` that callers and peers connect to.
         zone: Availability zone of the VM.
         region: Region of the zone.
+        platform: Services of the platform.
+        peers: Messages between nodes.
         zone_order: Other zones by distance, nearest first.
+        timings: Periods and limits.
+        bounds: Bounds of tables and bodies.
+        statsd: Where metrics go.
+        log_level: Least level of logs, such as `INFO`.
+        seed: Makes jitter and choices repeatable; for tests only.
     """
 
     name: str
