--- a/packages/amaranthlug/src/amaranthlug/protocol/unproven_quota.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/unproven_quota.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import xxhash
+
 from amaranthlug.coordination.peers import MemberView
 from amaranthlug.coordination.rating_pump import RatingPump
 from amaranthlug.coordination.withdrawal_watch import WithdrawalWatch
@@ -20,6 +22,11 @@
 a time goes to the version, over all nodes."""
 
 
+def drawn_share(text: str) -> float:
+    """Returns a number from 0 to 1 that is the same on every node."""
+    return xxhash.xxh3_64_intdigest(text.encode()) / 2**64
+
+
 class UnprovenQuota:
     """This node's part of the bound that holds over all nodes."""
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
@@ -1,12 +1,10 @@
 """Chooses the cheapest plan that meets a kind's quality target."""
 
 import dataclasses
-import random
 from collections.abc import Callable
 from typing import Protocol
 
 import gevent
-import xxhash
 from result import Err, Ok, Result
 
 from amaranthlug.coordination.platform import Metrics
@@ -24,6 +22,7 @@
     pools_exhausted,
 )
 from amaranthlug.protocol.difficulty import looks_hard
+from amaranthlug.protocol.exploration import Explorer
 from amaranthlug.protocol.kind_window import KindWindows
 from amaranthlug.protocol.outcome_count import OutcomeCounter
 from amaranthlug.protocol.plan_ranking import Option, Question, Ranking, rank
@@ -36,29 +35,13 @@
 from amaranthlug.protocol.unproven_quota import (
     DEFAULT_MAX_UNRATED,
     UnprovenQuota,
+    drawn_share,
 )
 from amaranthlug.state.catalog import Catalog, Rollout, Version, VersionId
 from amaranthlug.state.evidence import Cell, Evidence
 from amaranthlug.state.refusal import Refusal
 from amaranthlug.state.rollouts import RolloutFold, new_version, old_version
 
-EXPLORE_SURPLUS = 0.5
-"""Exploration budget: part of a kind's expected surplus above its target that
-exploration may spend; the rest covers errors of the estimates."""
-
-MIN_SURPLUS = 0.004
-"""Least surplus that is counted, so that a kind close to its target explores a
-little too; an exploration mostly loses 0.05 to 0.4."""
-
-MAX_EXPLORE_SHARE = 0.25
-"""Largest share of a kind's requests that explore."""
-
-MIN_LOSS = 0.02
-"""Least loss of quality that an exploration is counted with."""
-
-EXPLORE_BURST = 1.0
-"""Loss of quality that a kind can save up for, in answers."""
-
 RANKING_S = 10.0
 """Age at which a ranking is not used any more, in seconds; the timer computes
 those in use anew well before."""
@@ -80,11 +63,6 @@
 AUTO = "auto"
 
 
-def share_of(text: str) -> float:
-    """Returns a number from 0 to 1 that is the same on every node."""
-    return xxhash.xxh3_64_intdigest(text.encode()) / 2**64
-
-
 class PoolView(Protocol):
     """Free capacity of pools as this node knows it."""
 
@@ -159,14 +137,13 @@
         self.pools = pools
         self.metrics = metrics
         self.now = now
-        self.random = random.Random(seed)
+        self.explorer = Explorer(seed)
         self.check = check
         self.hard = hard
         self.windows = KindWindows(evidence, now)
         self.outcomes = OutcomeCounter(
             evidence, ratings, watch, quota, now, check, completed
         )
-        self.budgets: dict[str, float] = {}
         self.rankings: dict[tuple[object, ...], Ranked] = {}
         self.ranked_for: Catalog | None = None
 
@@ -357,7 +334,7 @@
         if (request.kind.harmful and not last) or self.ratings.out():
             return False
         name = request.session_id or request.request_id
-        drawn = share_of(f"{rollout.name}|{name}")
+        drawn = drawn_share(f"{rollout.name}|{name}")
         if drawn >= stage.share or self.pools.exhausted(new):
             return False
         cell = Cell(self.watch.label(new), request.kind.name, case.hard)
@@ -379,23 +356,15 @@
         request = case.request
         kind = request.kind
         ranking = self._ranking(case, candidates)
-        surplus = max(MIN_SURPLUS, ranking.surplus) * EXPLORE_SURPLUS
-        budget = self.budgets.get(kind.name, 0.0) + surplus
-        self.budgets[kind.name] = min(EXPLORE_BURST, budget)
+        self.explorer.earn(kind, ranking.surplus)
         if request.session_id or self.ratings.out():
             return None
-        if self.random.random() >= MAX_EXPLORE_SHARE:
-            return None
-        unknown = [o for o in ranking.unknown if self._may_explore(case, o)]
-        if not unknown:
-            return None
-        losses = [max(MIN_LOSS, option.mean - o.mean) for o in unknown]
-        weights = [1 / loss for loss in losses]
-        (index,) = self.random.choices(range(len(unknown)), weights)
-        if losses[index] > self.budgets[kind.name]:
-            return None
-        self.budgets[kind.name] -= losses[index]
-        return unknown[index]
+        return self.explorer.pick(
+            kind,
+            option,
+            ranking.unknown,
+            lambda other: self._may_explore(case, other),
+        )
 
     def _may_explore(self, case: Case, option: Option) -> bool:
         version = option.steps[0].version
