--- a/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/version_choice.py
@@ -290,8 +290,8 @@
         return Err(pools_exhausted(sorted(map(str, full))))
 
     def _in_time(self, case: Case, option: Option) -> bool:
-        cells = list(option.cells)
-        return in_time(self.evidence, case.request, self.now(), cells)
+        now, cells = self.now(), list(option.cells)
+        return in_time(self.evidence, case.request, now, cells)
 
     def _vary(
         self, case: Case, option: Option, candidates: list[Version]
@@ -330,8 +330,8 @@
         if not 0 <= index < len(rollout.stages) or not self._usable(case, new):
             return False
         request, stage = case.request, rollout.stages[index]
-        last = index == len(rollout.stages) - 1
-        if (request.kind.harmful and not last) or self.ratings.out():
+        early = stage is not rollout.stages[-1]
+        if (request.kind.harmful and early) or self.ratings.out():
             return False
         name = request.session_id or request.request_id
         drawn = drawn_share(f"{rollout.name}|{name}")
@@ -353,8 +353,7 @@
         self, case: Case, option: Option, candidates: list[Version]
     ) -> Option | None:
         """Returns a cheaper option of uncertain quality within the budget."""
-        request = case.request
-        kind = request.kind
+        request, kind = case.request, case.request.kind
         ranking = self._ranking(case, candidates)
         self.explorer.earn(kind, ranking.surplus)
         if request.session_id or self.ratings.out():
