Part rumours about requests from those about members; read VM list first

Suspected requests and suspected members shared the rumour topic 'suspect', so each engine crash raised KeyError in the request that met it ('internal'), and each member suspicion ended its probe. A new node also sent work to departing upstreams until its first VM list period (2 s) had passed. The request topic is now 'poison', and VmWatch reads the list before it serves. Both new tests failed before and pass now.

--- a/packages/amaranthlug/src/amaranthlug/coordination/membership.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/membership.py
@@ -35,6 +35,9 @@
 HELPERS = 2
 """Members asked for an indirect probe."""
 
+TOPIC = "suspect"
+"""Topic of rumours about members that are suspected."""
+
 OUTSIDE_SHARE = 0.2
 """Share of picks that go to an address outside the live members, which joins
 parts of the fleet that were separated."""
@@ -83,7 +86,7 @@
     def use_rumours(self, rumours: Rumours) -> None:
         """Connects the rumours, which themselves need this peer choice."""
         self.rumours = rumours
-        rumours.subscribe("suspect", self.on_suspect)
+        rumours.subscribe(TOPIC, self.on_suspect)
 
     def follow(self, feed: LogFeed) -> None:
         """Subscribes to join and leave records."""
@@ -276,7 +279,7 @@
         member.confirmed = member.heartbeat == heartbeat
         if member.confirmed and self.rumours is not None:
             fact = {"incarnation": member.incarnation, "heartbeat": heartbeat}
-            self.rumours.spread("suspect", fact)
+            self.rumours.spread(TOPIC, fact)
 
     def now(self) -> float:
         """Returns monotonic seconds."""
--- a/packages/amaranthlug/src/amaranthlug/coordination/vm_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/vm_watch.py
@@ -36,8 +36,13 @@
         self.departing: frozenset[str] = frozenset()
 
     def start(self) -> None:
-        """Subscribes the poll to the timer service."""
+        """Reads the list and subscribes the poll to the timer service.
+
+        Without the first read, a new node would send work to departing
+        upstreams until the first period has passed.
+        """
         if self.vm_list is not None:
+            self.poll()
             self.timers.every("vm_list", POLL_S, self.poll)
 
     def poll(self) -> None:
--- a/packages/amaranthlug/src/amaranthlug/protocol/suspects.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/suspects.py
@@ -14,7 +14,8 @@
 from amaranthlug.protocol.services import RoutedRequest
 from amaranthlug.state.refusal import Refusal
 
-TOPIC = "suspect"
+TOPIC = "poison"
+"""Topic of rumours about requests; `suspect` is about members."""
 
 EXPIRY_S = 600.0
 """Time after which a suspicion ends, in seconds."""
--- a/test/test_membership.py
+++ b/test/test_membership.py
@@ -8,6 +8,8 @@
 
 from amaranthlug.coordination.member_messages import MemberSection
 from amaranthlug.coordination.platform import VmEntry
+from amaranthlug.coordination.vm_watch import VmWatch
+from amaranthlug.protocol.suspects import SuspectRegister
 from amaranthlug.state.members import (
     Member,
     MemberEntry,
@@ -115,6 +117,32 @@
     assert node.membership.departing_upstreams() == {"e1", "e2"}
 
 
+def test_new_node_knows_departing_upstreams_at_once():
+    """A node sent work to a departing upstream before its first period."""
+    fleet = Fleet(1)
+    fleet.vm_list.vms = [VmEntry("e1", "a", "engine", "leaving")]
+    vms = VmWatch(fleet.vm_list, fleet.nodes["n0"].timers, "n9")
+    vms.start()
+    assert vms.departing_upstreams() == {"e1"}
+
+
+def test_rumours_about_members_and_about_requests_do_not_mix():
+    """With one topic for both, each crash and each suspicion raised."""
+    fleet = Fleet(3)
+    fleet.run(6)
+    nodes = fleet.nodes.values()
+    kept = [
+        SuspectRegister(node.rumours, node.metrics, node.timers.now, "i")
+        for node in nodes
+    ]
+    kept[0].crashed("digest", "e1")
+    fleet.run(2)
+    assert all(suspects.suspected("digest") for suspects in kept)
+    fleet.kill("n1")
+    fleet.run(20)
+    assert states(fleet.nodes["n0"])["n1"] == MemberState.GONE
+
+
 def test_message_size_does_not_grow_with_members():
     """Control bytes of a node must stay bounded at 390 nodes."""
     sizes = []
