--- a/packages/amaranthlug-standins/src/amaranthlug_standins/soak.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/soak.py
@@ -161,10 +161,12 @@
         f"{item.kind}@{item.at_s:.1f}+{item.length_s:.1f}"
         for item in plan.faults
     )
+    taken_out = router_withdrawals(checked.history)
     click.echo(
         f"seed {plan.seed} [{faults}] {dict(outcomes)} {dict(codes)} "
         f"{len(checked.violations)} violations, "
-        f"{time.monotonic() - started:.0f} s"
+        + (f"router withdrew {', '.join(taken_out)}, " if taken_out else "")
+        + f"{time.monotonic() - started:.0f} s"
     )
     for line in checked.report():
         click.echo(f"  {line}")
@@ -178,6 +180,20 @@
     return checked
 
 
+def router_withdrawals(history: History) -> list[str]:
+    """Returns the versions that nodes withdrew themselves.
+
+    No version turns bad in a soak, so each is a false withdrawal; there is a
+    target for their share and no promise, hence no rule.
+    """
+    found = {
+        record["version"]
+        for record in history.records
+        if record.get("type") == "withdrawal" and not record.get("operator")
+    }
+    return sorted(found)
+
+
 @click.command()
 @click.option("--seeds", default=20, show_default=True, help="How many.")
 @click.option("--first", default=1, show_default=True, help="First seed.")
