--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 CODE := packages test benchmarks
+SEEDS ?= 20
+FIRST ?= 1
 export PYTHONPATH := $(CURDIR)/packages/amaranthlug/src:$(CURDIR)/packages/amaranthlug-ui/src:$(CURDIR)/packages/amaranthlug-standins/src
 
 .PHONY: setup test demo bench check format soak
@@ -27,6 +29,10 @@
 bench: setup
 	$(BIN)/python benchmarks/run.py
 
+soak: setup
+	$(BIN)/python -m amaranthlug_standins.soak --first $(FIRST) \
+	  --seeds $(SEEDS) --out out
+
 check: setup
 	$(BIN)/ruff format --check $(CODE)
 	$(BIN)/ruff check $(CODE)
