Count offline tests of a version as a prior

Cause: a fresh fleet knew nothing of its versions and sent most requests to the dearest one until ratings came.

Change: a version may declare `prior_ratings`, `prior_by_kind` and `prior_by_kind_hard`. A version under roll-out is still unproven.

--- a/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
@@ -149,9 +149,12 @@
         """Tells whether a version has shown what it does."""
         if self.introducing(version) is not None:
             return False
-        return self.evidence.by_version(self.label(version)).rated >= (
-            PROVEN_RATED
-        )
+        label = self.label(version)
+        rated = self.evidence.by_version(label).rated
+        declared = self.view.catalog().versions.get(version)
+        if declared and label == str(version):
+            rated += declared.prior_ratings
+        return rated >= PROVEN_RATED
 
     def suspicion(self, version: VersionId) -> float:
         """Returns the log ratio's part of its limit, 0 to 1."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/config_models.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/config_models.py
@@ -51,6 +51,9 @@
     output_price: int
     context_tokens: int = 32_768
     prior_quality: float = 0.5
+    prior_ratings: int = 0
+    prior_by_kind: dict[str, float] = {}
+    prior_by_kind_hard: dict[str, float] = {}
 
 
 class UpstreamBody(Body):
--- a/packages/amaranthlug/src/amaranthlug/protocol/plan_ranking.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/plan_ranking.py
@@ -7,6 +7,7 @@
 from amaranthlug.protocol.services import PlanStep
 from amaranthlug.state.catalog import RequestKind, Version
 from amaranthlug.state.evidence import Bounds, Cell, Evidence
+from amaranthlug.state.priors import prior_of
 
 OUTPUT_SHARE = 0.5
 """Part of the longest answer that an average one takes."""
@@ -221,8 +222,11 @@
 ) -> tuple[Option, Step]:
     kind = ask.kind
     cell = Cell(label, kind.name, hard)
-    prior = version.prior_quality
-    bounds = evidence.bounds(cell, prior)
+    known = prior_of(version, kind.name, hard)
+    prior = known.quality
+    # A readmitted version has disproved its offline test once.
+    offline = known.ratings if label == str(version.id) else 0.0
+    bounds = evidence.bounds(cell, prior, offline=offline)
     output = int(kind.max_output_tokens * OUTPUT_SHARE)
     cost = float(version.cost(ask.prompt_tokens, output))
     step = Step(cell, prior, cost, bounds)
--- a/packages/amaranthlug/src/amaranthlug/state/catalog.py
+++ b/packages/amaranthlug/src/amaranthlug/state/catalog.py
@@ -42,6 +42,10 @@
         output_price: Micro-units per million generated tokens.
         context_tokens: Longest prompt plus answer, in tokens.
         prior_quality: Assumed share of good answers before any rating.
+        prior_ratings: Rated offline answers behind each assumed share.
+        prior_by_kind: Assumed share by request kind.
+        prior_by_kind_hard: The same for requests that look hard; those of
+            `prior_by_kind` count where it names no kind.
     """
 
     id: VersionId
@@ -50,6 +54,11 @@
     output_price: int
     context_tokens: int = 32_768
     prior_quality: float = 0.5
+    prior_ratings: int = 0
+    prior_by_kind: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    prior_by_kind_hard: Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def cost(self, prompt_tokens: int, output_tokens: int) -> int:
         """Returns the price of an answer in micro-units, rounded up."""
--- a/packages/amaranthlug/src/amaranthlug/state/catalog_check.py
+++ b/packages/amaranthlug/src/amaranthlug/state/catalog_check.py
@@ -111,6 +111,12 @@
     yield from at_least(path, "output_price", version.output_price, 0)
     yield from at_least(path, "context_tokens", version.context_tokens, 1)
     yield from within_one(path, "prior_quality", version.prior_quality)
+    yield from at_least(path, "prior_ratings", version.prior_ratings, 0)
+    for key in ("prior_by_kind", "prior_by_kind_hard"):
+        for kind, quality in getattr(version, key).items():
+            yield from within_one(path, f"{key}.{kind}", quality)
+            if kind not in catalog.kinds:
+                yield missing(path, key, "kinds", kind)
 
 
 def check_pool(pool: Pool) -> Iterator[PartProblem]:
--- a/packages/amaranthlug/src/amaranthlug/state/evidence.py
+++ b/packages/amaranthlug/src/amaranthlug/state/evidence.py
@@ -5,6 +5,8 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
+from amaranthlug.state.priors import Prior, agreement
+
 MAX_INCARNATIONS = 64
 """Least number of node incarnations kept apart; older ones are folded."""
 
@@ -253,7 +255,11 @@
         return self.pool.get(cell) or Tally()
 
     def bounds(
-        self, cell: Cell, prior: float, passed_only: bool = False
+        self,
+        cell: Cell,
+        prior: float,
+        passed_only: bool = False,
+        offline: float = 0.0,
     ) -> Bounds:
         """Returns cached bounds of the share of good answers.
 
@@ -261,6 +267,7 @@
             cell: Version, kind and difficulty.
             prior: Assumed share before any rating.
             passed_only: Only answers that passed the check of a cascade.
+            offline: Rated offline answers behind `prior`.
         """
         estimate = self.estimates.get(cell)
         if estimate is None:
@@ -271,7 +278,7 @@
             good, bad = estimate.good, estimate.bad
         weight = PRIOR_WEIGHT
         if not passed_only:
-            prior, weight = self._shared_prior(cell, prior)
+            prior, weight = self._shared_prior(cell, Prior(prior, offline))
         key, used = (cell, passed_only), (good, bad, self.trust, prior, weight)
         cached = self._bounds.get(key)
         if cached and cached[0] == used:
@@ -282,20 +289,21 @@
         self._bounds[key] = (used, bounds)
         return bounds
 
-    def _shared_prior(self, cell: Cell, prior: float) -> tuple[float, float]:
+    def _shared_prior(self, cell: Cell, prior: Prior) -> tuple[float, float]:
         """Returns the prior and its weight with what other kinds showed."""
-        side = self.sides.get(Cell(cell.version, hard=cell.hard))
-        if side is None or not cell.kind:
-            return prior, PRIOR_WEIGHT
+        side = self.sides.get(Cell(cell.version, hard=cell.hard)) or Estimate()
         own = self.estimates.get(cell) or Estimate()
-        good = max(0.0, side.good - own.good)
-        others = good + max(0.0, side.bad - own.bad)
-        if others <= 0:
-            return prior, PRIOR_WEIGHT
-        weight = min(SHARED_WEIGHT, others) * self.trust
-        share = good / others
-        total = PRIOR_WEIGHT + weight
-        return (prior * PRIOR_WEIGHT + share * weight) / total, total
+        good = max(0.0, side.good - own.good) if cell.kind else 0.0
+        others = good + max(0.0, side.bad - own.bad) if cell.kind else 0.0
+        share = good / others if others else 0.0
+        counted = min(SHARED_WEIGHT, others)
+        left = agreement(
+            prior, own.good + share * counted, own.good + own.bad + counted
+        )
+        assumed = PRIOR_WEIGHT + prior.ratings * left
+        weight = counted * self.trust
+        total = assumed + weight
+        return (prior.quality * assumed + share * weight) / total, total
 
     def by_version(self, version: str) -> Tally:
         """Returns the sum of a version over kinds and difficulties."""
