Keep pooled evidence on the log

Cause: all VMs may be replaced at any time, and a fleet that starts learned from nothing.

A node that folds it ignores later rows of these segments and counts into a new segment.

Not yet run with real processes.

--- a/packages/amaranthlug/src/amaranthlug/parts_requests.py
+++ b/packages/amaranthlug/src/amaranthlug/parts_requests.py
@@ -2,11 +2,12 @@
 
 import dataclasses
 
+from amaranthlug.coordination.evidence_keeper import EvidenceKeeper
 from amaranthlug.coordination.evidence_pool import EvidencePool
 from amaranthlug.coordination.rating_pump import RatingPump
 from amaranthlug.coordination.rollout_driver import RolloutDriver
 from amaranthlug.coordination.withdrawal_watch import WithdrawalWatch
-from amaranthlug.parts_fleet import FleetParts
+from amaranthlug.parts_fleet import SNAPSHOT_SLOT, FleetParts
 from amaranthlug.protocol.admission import Admission
 from amaranthlug.protocol.dispatch import Dispatcher
 from amaranthlug.protocol.engine_orders import EngineOrderSender
@@ -59,6 +60,7 @@
     poller: LoadPoller
     versions: CostQualityChooser
     driver: RolloutDriver
+    keeper: EvidenceKeeper
 
     @classmethod
     def from_settings(
@@ -125,6 +127,13 @@
             now,
             incarnation,
         )
+        keeper = EvidenceKeeper(
+            evidence,
+            fleet.follower,
+            fleet.writer,
+            fleet.timers,
+            lambda: fleet.slots.fence(SNAPSHOT_SLOT) is not None,
+        )
         fleet.exchange.register(pool)
         poller = LoadPoller(fleet.config, engine, servers, metrics)
         return cls(
@@ -138,6 +147,7 @@
             poller=poller,
             versions=versions,
             driver=driver,
+            keeper=keeper,
         )
 
     def start(self, fleet: FleetParts) -> None:
@@ -148,6 +158,7 @@
             self.poller,
             self.versions,
             self.driver,
+            self.keeper,
         ):
             part.start(fleet.timers)
 
--- a/packages/amaranthlug/src/amaranthlug/state/evidence.py
+++ b/packages/amaranthlug/src/amaranthlug/state/evidence.py
@@ -5,6 +5,8 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
+import xxhash
+
 from amaranthlug.state.priors import Prior, agreement
 
 MAX_INCARNATIONS = 64
@@ -40,6 +42,16 @@
     return f"{version}#{epoch}" if epoch else str(version)
 
 
+def segment_digest(segment: str) -> str:
+    """Returns the short name of a segment in snapshots."""
+    return xxhash.xxh3_64_hexdigest(segment.encode())[:10]
+
+
+def process_of(segment: str) -> str:
+    """Returns the incarnation that counts into a segment."""
+    return segment.partition("+")[0]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cell:
     """What a row of counters is about.
@@ -171,6 +183,7 @@
     ):
         """Creates empty counters of the node process `incarnation`."""
         self.incarnation = incarnation
+        self.segments = 0
         self.max_incarnations = max_incarnations
         self.rows: OrderedDict[str, dict[Cell, Tally]] = OrderedDict()
         self.rows[incarnation] = {}
@@ -195,14 +208,16 @@
         grown = Tally(**amounts)
         for name, amount in amounts.items():
             setattr(tally, name, getattr(tally, name) + amount)
-        self._add_to_pool(cell, grown)
+        self.add_to_pool(cell, grown)
 
     def merge(self, incarnation: str, cell: Cell, values: list[int]) -> bool:
         """Merges a row by maximum; True when it told something new.
 
         A row of this process itself is ignored: nobody knows it better.
         """
-        if incarnation == self.incarnation or incarnation in self.folded:
+        if process_of(incarnation) == process_of(self.incarnation):
+            return False
+        if segment_digest(incarnation) in self.folded:
             return False
         if len(values) != len(COUNTERS):
             return False
@@ -218,7 +233,7 @@
                 setattr(grown, name, value - known)
                 changed = True
         if changed:
-            self._add_to_pool(cell, grown)
+            self.add_to_pool(cell, grown)
         return changed
 
     def _row(self, incarnation: str, cell: Cell) -> Tally | None:
@@ -231,7 +246,8 @@
             tally = cells[cell] = Tally()
         return tally
 
-    def _add_to_pool(self, cell: Cell, grown: Tally) -> None:
+    def add_to_pool(self, cell: Cell, grown: Tally) -> None:
+        """Adds growth of a cell to all sums."""
         sums = [self.pool.setdefault(cell, Tally())]
         if cell.server:
             servers = self.servers.setdefault(cell.version, {})
@@ -319,13 +335,34 @@
         The pooled sums keep what folded incarnations counted. Live ones are
         never folded, because their later rows would be lost.
         """
-        keep = set(live) | {self.incarnation}
+        mine = process_of(self.incarnation)
+        keep = set(live) | {mine}
         surplus = len(self.rows) - max(self.max_incarnations, len(keep))
-        for incarnation in [i for i in self.rows if i not in keep]:
+        for segment in [i for i in self.rows if process_of(i) not in keep]:
             if surplus <= 0:
                 break
-            del self.rows[incarnation]
-            self.folded[incarnation] = None
+            del self.rows[segment]
+            self._remember(segment_digest(segment))
             surplus -= 1
+
+    def _remember(self, digest: str) -> None:
+        self.folded[digest] = None
         while len(self.folded) > MAX_FOLDED_IDS:
             self.folded.popitem(last=False)
+
+    def close_segments(self, covered: Iterable[str]) -> None:
+        """Ends segments by their digests; this node begins a new one.
+
+        The pooled sums keep what the segments counted.
+        """
+        closed = set(covered)
+        for digest in covered:
+            self._remember(digest)
+        for segment in list(self.rows):
+            if segment_digest(segment) in closed:
+                del self.rows[segment]
+        if segment_digest(self.incarnation) in closed:
+            self.segments += 1
+            process = process_of(self.incarnation)
+            self.incarnation = f"{process}+{self.segments}"
+            self.rows[self.incarnation] = {}
--- a/packages/amaranthlug/src/amaranthlug/state/records.py
+++ b/packages/amaranthlug/src/amaranthlug/state/records.py
@@ -147,6 +147,19 @@
     holder: str
 
 
+class EvidenceSnapshot(Record, tag="evidence_snapshot"):
+    """Pooled evidence, for nodes that start.
+
+    Attributes:
+        rows: Version with its epoch, kind, hard, and the counters in the order
+            of `evidence.COUNTERS`, reduced to recent ratings.
+        covered: Digests of the segments whose rows are in these sums.
+    """
+
+    rows: list[tuple[str, str, bool, list[int]]]
+    covered: list[str]
+
+
 class UnknownRecord(Record, tag="unknown"):
     """Stands for a record that this release cannot read.
 
@@ -164,6 +177,7 @@
     | LeaseClaim
     | BillChunk
     | RolloutStep
+    | EvidenceSnapshot
     | UnknownRecord
 )
 
