Replace silent successors at once and take slots over on time

Cause: an owner waited for heartbeats to show a successor lost (4 s and more) although its promises and copies failed at once, and one silent peer held up the renewal of all promises and the review of all leases. A paused node still looked live and was chosen as a successor again. An entry node tried a silent owner 20 times of 1 s each and did not know of takeovers.

Change: unanswered messages are noted by incarnation. A successor that misses two promises is replaced at once, silent peers are not chosen, and promises, merges and transfers go to peers beside each other. Takeovers are checked every 0.25 s apart from the review. An entry node searches for 2.5 s, asks the successors while the owner does not answer, and follows newer leases named in replies. The even spread moved to a module of its own.

A request that began before may still be refused up to about 0.3 s later.

--- a/packages/amaranthlug/src/amaranthlug/coordination/slot_claims.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/slot_claims.py
@@ -1,6 +1,5 @@
 """Claims of slot leases: first claims, takeover, replacement, hand-over."""
 
-import itertools
 import logging
 import uuid
 from collections.abc import Callable, Iterable
@@ -9,6 +8,7 @@
 from result import Ok
 
 from amaranthlug.coordination.peers import RecordWriter
+from amaranthlug.coordination.slot_spread import SlotSpread
 from amaranthlug.coordination.slots import SlotKeeper
 from amaranthlug.state.leases import (
     ALL_SLOTS,
@@ -24,6 +24,10 @@
 PERIOD_S = 1.0
 """Period of the review of leases, in seconds."""
 
+TAKEOVER_PERIOD_S = 0.25
+"""Period in which promises are checked for their end, in seconds; a slot of a
+lost owner stands still that much longer than the promise."""
+
 LOG_FRESH_S = 3.0
 """Claims are sent only when the log was read within this, in seconds. A
 successor that claims refuses renewals, so a claim during an outage would stop a
@@ -47,9 +51,6 @@
 MAJORITY_SAMPLE = 5
 """Members asked before slots are taken; constant at any number of nodes."""
 
-HAND_OVER_SLOTS = 8
-"""Slots handed over in one step; bounds the time they stand still."""
-
 log = logging.getLogger(__name__)
 
 
@@ -68,24 +69,32 @@
         self.writer = writer
         self.gone = gone
         self.started_at = keeper.timers.now()
+        self.tending = False
+        self.spread = SlotSpread(keeper, self)
 
     def start(self) -> None:
-        """Subscribes the review to the timer service."""
-        self.keeper.timers.every("slot_claims", PERIOD_S, self.review)
+        """Subscribes the reviews to the timer service."""
+        timers = self.keeper.timers
+        timers.every("slot_claims", PERIOD_S, self.review)
+        timers.every("slot_takeovers", TAKEOVER_PERIOD_S, self.take_over)
+        self.keeper.silent_calls.append(self.tend_successors)
 
     def review(self) -> None:
         """Does whatever is due, one kind of claim after the other."""
         self.settle_uncertain()
-        keeper = self.keeper
-        if keeper.feed.confirmed_age() > LOG_FRESH_S:
+        if not self.may_claim():
             return
         if self.me.state == MemberState.LIVE:
-            self.take_over()
-            if keeper.members.heard_majority():
-                self.claim_free()
-                self.tend_successors()
-        if keeper.members.heard_majority():
-            self.rebalance()
+            self.claim_free()
+            self.tend_successors()
+        self.spread.rebalance()
+
+    def may_claim(self) -> bool:
+        """Tells whether the log is fresh and a majority was heard."""
+        keeper = self.keeper
+        if keeper.feed.confirmed_age() > LOG_FRESH_S:
+            return False
+        return keeper.members.heard_majority()
 
     def reaches_majority(self) -> bool:
         """Tells whether this node may take slots away from others.
@@ -109,9 +118,12 @@
             gevent.spawn(self.keeper.send, m.incarnation, "ping", {})
             for m in sample
         ]
-        gevent.joinall(asked)
-        reached = 1 + sum(isinstance(task.value, Ok) for task in asked)
-        return 2 * reached > len(sample) + 1
+        reached = 1
+        for task in gevent.iwait(asked):
+            reached += isinstance(task.value, Ok)
+            if 2 * reached > len(sample) + 1:
+                return True
+        return False
 
     # Appending
 
@@ -170,7 +182,10 @@
         self, slots: dict[int, int], wanted: Iterable[str]
     ) -> list[str]:
         """Transfers slots to nodes and returns those that have them."""
-        return [w for w in wanted if self.keeper.transfer(slots, w)]
+        nodes = list(wanted)
+        tasks = [gevent.spawn(self.keeper.transfer, slots, w) for w in nodes]
+        gevent.joinall(tasks)
+        return [w for w, t in zip(nodes, tasks, strict=True) if t.value]
 
     # First claims and orphans
 
@@ -180,6 +195,7 @@
         if keeper.timers.now() - self.started_at < SETTLE_S:
             return
         live = keeper.members.live()
+        usable = keeper.usable()
         free = [s for s in range(ALL_SLOTS) if self.is_free(s)]
         share = share_out(free, live)
         mine = [s for s in free if share.get(s) == self.me.incarnation]
@@ -189,7 +205,7 @@
             if s in keeper.fold.leases
         }
         first = {s: NO_LEASE for s in mine if s not in orphans}
-        wanted = choose_successors(self.me, live)
+        wanted = choose_successors(self.me, usable)
         if first:
             self.append(first, self.me.incarnation, wanted, True)
         if orphans:
@@ -216,17 +232,27 @@
 
     def take_over(self) -> None:
         """Claims slots whose owner let this successor's promise expire."""
-        groups: dict[tuple[str, ...], list[Lease]] = {}
-        for lease in self.keeper.fold.leases.values():
-            if self.is_due(lease):
-                others = tuple(
-                    s for s in lease.successors if s != self.me.incarnation
-                )
-                groups.setdefault(others, []).append(lease)
-        if not groups or not self.reaches_majority():
+        if self.me.state != MemberState.LIVE or not self.due():
             return
-        for others, leases in groups.items():
-            self.take_over_group(others, leases)
+        if self.keeper.feed.confirmed_age() > LOG_FRESH_S:
+            return
+        if not self.reaches_majority():
+            return
+        groups: dict[tuple[str, tuple[str, ...]], list[Lease]] = {}
+        for lease in self.due():
+            others = tuple(
+                s for s in lease.successors if s != self.me.incarnation
+            )
+            groups.setdefault((lease.owner, others), []).append(lease)
+        tasks = [
+            gevent.spawn(self.take_over_group, owner, others, leases)
+            for (owner, others), leases in groups.items()
+        ]
+        gevent.joinall(tasks)
+
+    def due(self) -> list[Lease]:
+        """Returns the leases that this node has to take over."""
+        return [x for x in self.keeper.fold.leases.values() if self.is_due(x)]
 
     def is_due(self, lease: Lease) -> bool:
         """Tells whether a takeover by this node is due."""
@@ -245,24 +271,33 @@
         return keeper.timers.now() >= until
 
     def take_over_group(
-        self, others: tuple[str, ...], leases: list[Lease]
+        self, owner: str, others: tuple[str, ...], leases: list[Lease]
     ) -> None:
-        """Takes over slots that share the other successor."""
+        """Takes over slots that share the owner and the other successor."""
         keeper = self.keeper
         slots = {lease.slot: lease.offset for lease in leases}
         keeper.claiming |= slots.keys()
-        for lease in leases:
-            if lease.slot >= KEY_SLOTS:
-                continue
-            if not self.merge_copies(lease, others):
-                keeper.tables.mark_incomplete(lease.slot, keeper.now_ms())
-            keeper.synced[lease.slot] = lease.offset
-        wanted = choose_successors(self.me, keeper.members.live(), others)
+        merges = [
+            gevent.spawn(self.merge_or_mark, lease, others)
+            for lease in leases
+            if lease.slot < KEY_SLOTS
+        ]
+        gevent.joinall(merges)
+        # The owner looks live for some seconds more, but does not answer.
+        usable = [m for m in keeper.usable() if m.incarnation != owner]
+        wanted = choose_successors(self.me, usable, others)
         ready = self.transfer_to(slots, wanted)
         log.info("taking over slots %s", sorted(slots))
         keeper.metrics.incr("slots.takeover", len(slots))
         self.append(slots, self.me.incarnation, ready, True)
 
+    def merge_or_mark(self, lease: Lease, others: tuple[str, ...]) -> None:
+        """Merges the other copy, or notes that keys may be missing here."""
+        keeper = self.keeper
+        if not self.merge_copies(lease, others):
+            keeper.tables.mark_incomplete(lease.slot, keeper.now_ms())
+        keeper.synced[lease.slot] = lease.offset
+
     def merge_copies(self, lease: Lease, others: tuple[str, ...]) -> bool:
         """Merges the other successor's copy; False if the slot lacks one."""
         keeper = self.keeper
@@ -280,9 +315,24 @@
     # Successors
 
     def tend_successors(self) -> None:
-        """Replaces lost successors, and writes old leases anew."""
+        """Replaces lost successors, and writes old leases anew.
+
+        It is called by the review and as soon as a successor is silent.
+        """
+        if self.tending or not self.may_claim():
+            return
+        self.tending = True
+        try:
+            if self.tended() and self.reaches_majority():
+                for wanted, slots in self.tended().items():
+                    self.replace(slots, wanted)
+        finally:
+            self.tending = False
+
+    def tended(self) -> dict[tuple[str, ...], dict[int, int]]:
+        """Returns slots with their offsets by the successors they need."""
         keeper = self.keeper
-        live = keeper.members.live()
+        usable = keeper.usable()
         groups: dict[tuple[str, ...], dict[int, int]] = {}
         choices: dict[tuple[str, ...], tuple[str, ...]] = {}
         for lease in keeper.fold.owned_by(self.me.incarnation):
@@ -290,15 +340,12 @@
                 continue
             now = lease.successors
             if now not in choices:
-                choices[now] = choose_successors(self.me, live, now)
+                choices[now] = choose_successors(self.me, usable, now)
             wanted = choices[now]
             age = keeper.timers.now() - keeper.seen_at[lease.slot]
-            if self.is_better(lease, wanted, live) or age >= REFRESH_S:
+            if self.is_better(lease, wanted, usable) or age >= REFRESH_S:
                 groups.setdefault(wanted, {})[lease.slot] = lease.offset
-        if not groups or not self.reaches_majority():
-            return
-        for wanted, slots in groups.items():
-            self.replace(slots, wanted)
+        return groups
 
     def is_better(
         self, lease: Lease, wanted: tuple[str, ...], live: list[Member]
@@ -330,48 +377,7 @@
             return
         self.append(slots, self.me.incarnation, wanted, False)
 
-    # Even spread and leaving
-
-    def rebalance(self) -> None:
-        """Hands slots over to nodes that hold too few, or all when leaving."""
-        owned = self.keeper.fold.owned_by(self.me.incarnation)
-        mine = sorted(x.slot for x in owned if self.is_idle(x.slot))
-        live = [m for m in self.keeper.members.live() if m is not self.me]
-        if not live or not mine or len(mine) < len(owned):
-            return
-        counts = {
-            m.incarnation: len(self.keeper.fold.owned_by(m.incarnation))
-            for m in live
-        }
-        target = min(live, key=lambda m: (counts[m.incarnation], m.incarnation))
-        count = self.excess(len(mine), counts[target.incarnation], len(live))
-        if count > 0:
-            chosen = list(itertools.islice(reversed(mine), count))
-            self.hand_over(chosen, target)
-
-    def excess(self, mine: int, target: int, others: int) -> int:
-        """Returns how many slots to hand over in one step."""
-        if self.me.state != MemberState.LIVE:
-            return min(mine, HAND_OVER_SLOTS)
-        fair = ALL_SLOTS // (others + 1)
-        return min(mine - fair, fair - target, HAND_OVER_SLOTS)
-
-    def hand_over(self, slots: list[int], target: Member) -> None:
-        """Hands slots over; this node does not act on them meanwhile."""
-        keeper = self.keeper
-        offsets = {s: keeper.fold.leases[s].offset for s in slots}
-        keeper.frozen |= offsets.keys()
-        live = keeper.members.live()
-        wanted = choose_successors(target, live)
-        if not keeper.transfer(offsets, target.incarnation):
-            for slot in slots:
-                keeper.forget_claim(slot)
-            return
-        others = [w for w in wanted if w != self.me.incarnation]
-        ready = set(self.transfer_to(offsets, others))
-        named = [w for w in wanted if w in ready or w == self.me.incarnation]
-        keeper.metrics.incr("slots.handed_over", len(slots))
-        self.append(offsets, target.incarnation, named, True)
+    # Leaving
 
     def is_named(self) -> bool:
         """Tells whether others still have to take over this node's leases.
--- a/packages/amaranthlug/src/amaranthlug/coordination/slots.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/slots.py
@@ -1,6 +1,5 @@
 """Slot leases at run time: validity, promises, copies and routing."""
 
-import dataclasses
 import time
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -8,17 +7,26 @@
 import gevent
 from result import Err, Ok, Result
 
+from amaranthlug.coordination.peer_silence import PeerSilence
 from amaranthlug.coordination.peers import (
     LogFeed,
     MemberView,
+    PeerError,
     PeerHandlers,
     PeerLink,
-    handle_message,
 )
 from amaranthlug.coordination.platform import Metrics
+from amaranthlug.coordination.slot_routing import (
+    ASK_S,
+    RETRY_S,
+    TRIES,
+    SlotError,
+    SlotSearch,
+)
 from amaranthlug.coordination.slot_tables import Row, TableSet
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.state.leases import KEY_SLOTS, Lease, LeaseFold
+from amaranthlug.state.members import Member
 from amaranthlug.state.records import LogEntry
 from amaranthlug.state.settings import Timings
 
@@ -28,25 +36,12 @@
 CALL_S = 1.0
 """Limit of one message between owner and successor, in seconds."""
 
-RETRY_S = 0.1
-"""Wait before an owner is asked again, in seconds."""
-
-TRIES = 20
-"""Tries to reach an acting owner; about 2 s, a hand-over or a renewal."""
-
+PROMISE_CALL_S = 0.7
+"""Limit of one request for a promise or a copy, in seconds; below `CALL_S`, so
+that an entry node learns why its owner cannot act."""
 
-@dataclasses.dataclass(frozen=True)
-class SlotError:
-    """No acting owner of a slot answered.
-
-    Attributes:
-        message: What happened last.
-        not_received: No owner can have acted on the message.
-    """
-
-    slot: int
-    message: str
-    not_received: bool
+PROMISE_RETRY_S = 0.3
+"""Wait before a missed promise is asked for again, in seconds."""
 
 
 class SlotKeeper:
@@ -80,6 +75,8 @@
         self.timings = timings
         self.wall_s = wall_s
         self.pause = pause
+        self.silence = PeerSilence(timers.now)
+        self.silent_calls: list[Callable[[], object]] = []
         self.fold = LeaseFold()
         self.tables = TableSet(timings.run_retention_s)
         self.seen_at: dict[int, float] = {}
@@ -191,27 +188,40 @@
     # Promises
 
     def renew(self) -> None:
-        """Asks all successors of this node's slots, one message each."""
+        """Asks all successors of this node's slots, one message each.
+
+        Nobody waits for the slowest one.
+        """
         wanted: dict[str, dict[int, int]] = {}
         for lease in self.fold.owned_by(self.me.incarnation):
             for successor in self.holders(lease):
                 wanted.setdefault(successor, {})[lease.slot] = lease.offset
-        tasks = [
+        for successor, slots in wanted.items():
             gevent.spawn(self.ask_promise, successor, slots)
-            for successor, slots in wanted.items()
-        ]
-        gevent.joinall(tasks)
 
     def ask_promise(self, successor: str, slots: dict[int, int]) -> None:
-        """Asks one successor not to claim; validity counts from before."""
+        """Asks one successor not to claim, twice if it does not answer."""
+        if self.ask_promise_once(successor, slots):
+            return
+        self.pause(PROMISE_RETRY_S)
+        if self.ask_promise_once(successor, slots):
+            return
+        if self.silence.is_silent(successor):
+            for call in self.silent_calls:
+                call()
+
+    def ask_promise_once(self, successor: str, slots: dict[int, int]) -> bool:
+        """Asks for promises; their validity counts from before."""
         asked = self.timers.now()
-        reply = self.send(successor, "promise", {"slots": slots})
+        message = {"slots": slots}
+        reply = self.send(successor, "promise", message, PROMISE_CALL_S)
         if not isinstance(reply, Ok):
-            return
+            return False
         until = asked + self.timings.promise_use_s
         for slot in reply.ok_value["granted"]:
             mine = self.validity.setdefault(int(slot), {})
             mine[successor] = max(until, mine.get(successor, 0.0))
+        return True
 
     def on_promise(self, message: dict[str, Any]) -> dict[str, Any]:
         """Promises not to claim, except slots that are claimed already."""
@@ -239,17 +249,47 @@
 
     # Copies
 
-    def send(
-        self, incarnation: str, name: str, message: dict[str, Any]
-    ) -> Result[dict[str, Any], str]:
-        """Sends a message meant for one process."""
+    def call(
+        self, incarnation: str, name: str, message: dict[str, Any], limit: float
+    ) -> Result[dict[str, Any], PeerError] | None:
+        """Sends a message to one process; None for an unknown one.
+
+        Args:
+            incarnation: The process.
+            name: Name of the handler.
+            message: Members beside `to`.
+            limit: Longest wait for the reply, in seconds.
+        """
         member = self.members.by_incarnation(incarnation)
         if member is None:
-            return Err(f"{incarnation} is not known")
+            return None
+        asked_at = self.timers.now()
         full = {**message, "to": incarnation}
-        reply = self.link.call(member.address, name, full, CALL_S)
+        reply = self.link.call(member.address, name, full, limit)
+        if isinstance(reply, Ok):
+            self.silence.answered(incarnation)
+        else:
+            self.silence.unanswered(incarnation, asked_at)
+        return reply
+
+    def send(
+        self,
+        incarnation: str,
+        name: str,
+        message: dict[str, Any],
+        limit: float = CALL_S,
+    ) -> Result[dict[str, Any], str]:
+        """Sends a message meant for one process; see `call`."""
+        reply = self.call(incarnation, name, message, limit)
+        if reply is None:
+            return Err(f"{incarnation} is not known")
         return reply.map_err(lambda error: error.message)
 
+    def usable(self) -> list[Member]:
+        """Returns live members that answer this node."""
+        live = self.members.live()
+        return [m for m in live if not self.silence.is_silent(m.incarnation)]
+
     def replicate(self, slot: int, table: str, rows: dict[str, Row]) -> bool:
         """Copies rows to all named successors; put them here first.
 
@@ -265,7 +305,7 @@
             "tables": {table: rows},
         }
         tasks = [
-            gevent.spawn(self.send, s, "slot_copy", message)
+            gevent.spawn(self.send, s, "slot_copy", message, PROMISE_CALL_S)
             for s in self.holders(lease)
         ]
         gevent.joinall(tasks)
@@ -332,42 +372,17 @@
 
         An owner that may not act now replies `{"retry": reason}`.
         """
-        reason, not_received = "no lease", True
+        search = SlotSearch(self, slot)
+        until = self.timers.now() + ASK_S
         for _ in range(tries):
-            reply = self.ask_once(slot, name, message, timeout_s)
-            if isinstance(reply, Ok):
-                if "retry" not in reply.ok_value:
-                    return reply
-                reason = str(reply.ok_value["retry"])
-                # A retry reply may come after copies were sent.
-                not_received = not_received and reason == "not_owner"
-            else:
-                reason = reply.err_value.message
-                if not reply.err_value.not_received:
-                    not_received = False
+            reply = search.ask(name, message, timeout_s)
+            if reply is not None:
+                return Ok(reply)
+            if self.timers.now() >= until:
+                break
             self.pause(RETRY_S)
         self.metrics.incr("slots.unavailable")
-        return Err(SlotError(slot, reason, not_received))
-
-    def ask_once(
-        self, slot: int, name: str, message: dict[str, Any], timeout_s: float
-    ) -> Result[dict[str, Any], SlotError]:
-        """Sends a message to the owner by the newest lease once."""
-        owner = self.owner_of(slot)
-        if owner is None:
-            return Err(SlotError(slot, "no lease", True))
-        full = {**message, "slot": slot, "to": owner}
-        if owner == self.me.incarnation:
-            full["sender"] = self.me.address
-            full["incarnation"] = self.me.incarnation
-            return Ok(handle_message(self.handlers, self.me, name, full))
-        member = self.members.by_incarnation(owner)
-        if member is None:
-            return Err(SlotError(slot, f"owner {owner} is not known", True))
-        reply = self.link.call(member.address, name, full, timeout_s)
-        return reply.map_err(
-            lambda e: SlotError(slot, e.message, e.not_received)
-        )
+        return Err(SlotError(slot, search.reason, search.not_received))
 
     def owned_slots(self, among: Iterable[int]) -> list[int]:
         """Returns those of some slots that this node holds right now."""
--- a/test/test_slots.py
+++ b/test/test_slots.py
@@ -70,6 +70,19 @@
         assert node.slots.tables.incomplete == {}
 
 
+def test_silent_node_is_replaced_when_promises_end():
+    """A slot must not wait for heartbeats to show what promises showed."""
+    fleet = Fleet(8, zones=("a", "b", "c", "d"))
+    fleet.run(30)
+    fleet.nodes["n1"].paused = True
+    run_checked(fleet, 5.5)
+    held = acting(fleet)
+    assert sum(held.values()) == ALL_SLOTS and not held["n1"]
+    lost = fleet.nodes["n1"].me.incarnation
+    for lease in fleet.nodes["n0"].slots.fold.leases.values():
+        assert lost not in (lease.owner, *lease.successors)
+
+
 def test_paused_owner_cannot_act_when_it_wakes():
     """An owner that wakes believes in its lease until it reads the log."""
     fleet = Fleet(4)
