Compare a version's failures with those of the others

Change: the acceptable share of failures is at least that of all other versions since the test restarted, with ten successes assumed of them.

--- a/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
@@ -34,6 +34,10 @@
 """Log ratio of all servers but the worst above which the fault lies with the
 version: two bad ratings, as a single one also happens to a good version."""
 
+CALM_OUTCOMES = 10
+"""Successes assumed of the other versions, so that a few outcomes of theirs do
+not decide."""
+
 PROVEN_RATED = 30
 """Ratings after which a version outside a roll-out counts as proven."""
 
@@ -61,6 +65,7 @@
         own: By server, when the server's own test last restarted.
         ejected: Servers whose outcomes do not speak against the version.
         total: Over all cells.
+        others: Good and bad requests of all other versions at that time.
     """
 
     cells: dict[Cell, Tally] = dataclasses.field(default_factory=dict)
@@ -69,6 +74,7 @@
     own: dict[str, Tally] = dataclasses.field(default_factory=dict)
     ejected: set[str] = dataclasses.field(default_factory=set)
     total: Tally = dataclasses.field(default_factory=Tally)
+    others: tuple[int, int] = (0, 0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -230,6 +236,27 @@
                 return True
         return False
 
+    def _others(self, label: str) -> tuple[int, int]:
+        """Returns good and bad outcomes of requests to other versions."""
+        tallies = [
+            self.evidence.by_version(self.label(other))
+            for other in self.view.catalog().versions
+            if self.label(other) != label
+        ]
+        found = [outcomes(tally, Tally(), True) for tally in tallies]
+        return sum(good for good, _ in found), sum(bad for _, bad in found)
+
+    def _share_of_others(self, label: str, base: Baseline) -> float:
+        """Returns the share of failures of others since the test restarted.
+
+        Lost servers and a cut network fail all versions alike, which says
+        nothing against one of them: without this reference a few faults at
+        once withdrew every version of a small fleet.
+        """
+        good, bad = self._others(label)
+        good, bad = max(0, good - base.others[0]), max(0, bad - base.others[1])
+        return bad / (good + bad + CALM_OUTCOMES)
+
     def _own_share(self, label: str, failures: bool) -> float:
         good, bad = outcomes(self.evidence.by_version(label), Tally(), failures)
         return bad / (good + bad) if good + bad >= REFERENCE_RATED else 0.0
@@ -244,7 +271,8 @@
         test = RatioTest()
         if failures:
             past = base.reference.get(Cell(label), 0.0)
-            limit = acceptable(past, LEAST_FAILED)
+            shared = self._share_of_others(label, base)
+            limit = acceptable(max(past, shared), LEAST_FAILED)
             total = self.evidence.by_version(label)
             good, bad = outcomes(total, base.total, True)
             test.add(good, bad, limit)
@@ -334,6 +362,7 @@
                 bounds = self.evidence.bounds(cell, 0.5)
                 base.reference[cell] = 1 - bounds.lower
         base.reference[Cell(label)] = self._own_share(label, failures=True)
+        base.others = self._others(label)
         base.total = dataclasses.replace(total)
         servers = self.evidence.by_server(label)
         base.servers = {
