Notice callers who leave before the first token and choose plans anew

Cause: a caller who left before its first token was billed and served to the end of the first-token limit, and a request whose pool filled up after the choice was refused although another allowed version met the target.

A plan refused with no_version or pool_exhausted before anything was sent is chosen anew once, by the same chooser.

Figures: a mute engine is cancelled within 0.3 s after the caller leaves, where before it ran to the first-token limit (test_server.py, a stream and a whole answer).

--- a/packages/amaranthlug/src/amaranthlug/protocol/answer_stream.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/answer_stream.py
@@ -2,10 +2,11 @@
 
 import dataclasses
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from amaranthlug.protocol.attempt import Attempt
+from amaranthlug.protocol.callers import CHECK_S, CallerLeftError
 from amaranthlug.protocol.relay import (
     closing_events,
     render,
@@ -161,3 +162,36 @@
     def close(self) -> None:
         """Ends the request if the caller left before its end."""
         self.relay.leave(self.settlement)
+
+
+class ReplayedStream:
+    """A stored answer as a stream."""
+
+    def __init__(self, data: bytes, headers: dict[str, str]):
+        """Wraps rendered events."""
+        self.headers = headers
+        self.iterator = iter([data])
+
+    def __iter__(self) -> "ReplayedStream":
+        """Returns itself."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Returns the events once."""
+        return next(self.iterator)
+
+
+def read_whole(relay: Relay, left: Callable[[], bool] | None) -> None:
+    """Reads an answer to its end.
+
+    Raises:
+        CallerLeftError: The caller closed its connection.
+        RelayFailedError: The answer cannot be completed.
+    """
+    next_check = 0.0
+    for _ in relay.blocks():
+        now = time.monotonic()
+        if left is not None and now >= next_check:
+            next_check = now + CHECK_S
+            if left():
+                raise CallerLeftError
--- a/packages/amaranthlug/src/amaranthlug/protocol/dispatch.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/dispatch.py
@@ -1,8 +1,6 @@
 """Dispatch: from a caller's request to its answer."""
 
 import dataclasses
-import logging
-import time
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -12,9 +10,12 @@
 from amaranthlug.protocol.answer_stream import (
     Relay,
     RelayFailedError,
+    ReplayedStream,
     StreamAnswer,
     WholeAnswer,
+    read_whole,
 )
+from amaranthlug.protocol.callers import CallerLeftError, CallerWatch
 from amaranthlug.protocol.chat import CallerHeaders, output_limit, parse_chat
 from amaranthlug.protocol.poison import Suspects, poison_digest
 from amaranthlug.protocol.relay import replay_events
@@ -34,15 +35,8 @@
 from amaranthlug.state.catalog import VersionId
 from amaranthlug.state.refusal import Refusal, RefusalCode, refuse
 
-log = logging.getLogger(__name__)
-
-LEFT_CHECK_S = 0.1
-"""Period of checks whether the caller of a whole answer has left, in seconds;
-the caller of a stream is noticed by the next write."""
-
-
-class CallerLeftError(Exception):
-    """The caller closed its connection before its whole answer."""
+CHOSEN_ANEW = frozenset({RefusalCode.NO_VERSION, RefusalCode.POOL_EXHAUSTED})
+"""Refusals of a plan that another plan may avoid."""
 
 
 @dataclasses.dataclass
@@ -53,23 +47,6 @@
     held: list[bytes] | None = None
 
 
-class ReplayedStream:
-    """A stored answer as a stream."""
-
-    def __init__(self, data: bytes, headers: dict[str, str]):
-        """Wraps rendered events."""
-        self.headers = headers
-        self.iterator = iter([data])
-
-    def __iter__(self) -> "ReplayedStream":
-        """Returns itself."""
-        return self
-
-    def __next__(self) -> bytes:
-        """Returns the events once."""
-        return next(self.iterator)
-
-
 Answer = WholeAnswer | StreamAnswer | ReplayedStream
 
 
@@ -100,18 +77,19 @@
         self.sender = sender
         self.suspects = suspects
         self.metrics = metrics
+        self.watch = CallerWatch()
 
     def handle(
         self,
         raw: bytes,
         headers: CallerHeaders,
-        left: Callable[[], bool] = lambda: False,
+        left: Callable[[], bool] | None = None,
     ) -> Result[Answer, Refusal]:
         """Returns the answer to a body, or its refusal.
 
         Raises:
-            CallerLeftError: The caller of a whole answer closed its
-                connection, as `left` tells.
+            CallerLeftError: The caller closed its connection before its
+                whole answer or the first token of its stream.
         """
         answered = self.try_handle(raw, headers, left)
         if isinstance(answered, Err):
@@ -119,7 +97,10 @@
         return answered
 
     def try_handle(
-        self, raw: bytes, headers: CallerHeaders, left: Callable[[], bool]
+        self,
+        raw: bytes,
+        headers: CallerHeaders,
+        left: Callable[[], bool] | None,
     ) -> Result[Answer, Refusal]:
         """Admits, parses and runs a request."""
         serving = self.admission.may_serve()
@@ -157,7 +138,7 @@
         self,
         request: RoutedRequest,
         settlement: Settlement,
-        left: Callable[[], bool],
+        left: Callable[[], bool] | None,
     ) -> Result[Answer, Refusal]:
         """Runs a request that has a place in flight."""
         stored = self.begin(request, settlement)
@@ -218,15 +199,25 @@
         self,
         request: RoutedRequest,
         settlement: Settlement,
-        left: Callable[[], bool],
+        left: Callable[[], bool] | None,
     ) -> Result[Answer, Refusal]:
-        """Chooses and runs; chooses anew once if a version was withdrawn."""
-        for last_choice in (False, True):
+        """Chooses and runs; chooses anew once if nothing could be sent.
+
+        A version may be withdrawn and a pool may fill up after the choice. The
+        chooser then finds the next cheapest allowed version that meets the
+        target; the same plan is not tried again.
+        """
+        failed: Plan | None = None
+        refusal = nothing_planned()
+        for _ in range(2):
             planned = self.plan(request)
             if isinstance(planned, Err):
                 return planned
             plan, moved = planned.ok_value
-            ran = self.run_steps(request, plan, settlement)
+            if failed is not None and plan.steps == failed.steps:
+                break
+            failed = plan
+            ran = self.run_steps(request, plan, settlement, left)
             if isinstance(ran, Ok):
                 delivery = ran.ok_value
                 headers = answer_headers(request, delivery.relay.record.id)
@@ -234,9 +225,9 @@
                     headers["X-Session-Moved"] = moved
                 return self.deliver(delivery, settlement, headers, left)
             refusal = ran.err_value
-            stale = refusal.code == RefusalCode.NO_VERSION and refusal.not_run
-            if last_choice or not stale:
+            if refusal.code not in CHOSEN_ANEW or not refusal.not_run:
                 break
+            self.metrics.incr(f"chosen_anew.{refusal.code}")
         return Err(refusal)
 
     def plan(self, request: RoutedRequest) -> Result[tuple[Plan, str], Refusal]:
@@ -278,7 +269,11 @@
         return "" if pinned in catalog.versions else "not_allowed"
 
     def run_steps(
-        self, request: RoutedRequest, plan: Plan, settlement: Settlement
+        self,
+        request: RoutedRequest,
+        plan: Plan,
+        settlement: Settlement,
+        left: Callable[[], bool] | None,
     ) -> Result[Delivery, Refusal]:
         """Runs the steps in order until one can be delivered."""
         steps = plan.steps
@@ -286,14 +281,17 @@
             # A cascade may run a request again; only its last step needs no
             # check.
             steps = steps[-1:]
-        result: Result[Delivery, Refusal] = Err(
-            refuse(RefusalCode.NO_VERSION, "the plan is empty", "retry later")
-        )
+        result: Result[Delivery, Refusal] = Err(nothing_planned())
         received = False
         for number, plan_step in enumerate(steps, 1):
             step = StepRun(request, plan_step.version, received=received)
             last = number == len(steps)
-            result = self.run_step(step, plan_step, last, settlement)
+            try:
+                with self.watch.during(left):
+                    result = self.run_step(step, plan_step, last, settlement)
+            except CallerLeftError:
+                self.settle_left(step, settlement)
+                raise
             if isinstance(result, Ok):
                 return result
             received = step.received
@@ -324,6 +322,10 @@
             relay.attempt.end("error", "", failed=True)
             relay.count_use(settlement)
             return Err(error.refusal)
+        except CallerLeftError:
+            relay.attempt.cancel()
+            relay.attempt.end("cancelled", "", failed=False)
+            raise
         text = step.meter.text
         if self.chooser.passes_check(step.request, step.version, text):
             return Ok(Delivery(relay, held))
@@ -333,12 +335,23 @@
         self.metrics.incr("cascade.escalated")
         return Err(sender_check_failed(step))
 
+    def settle_left(self, step: StepRun, settlement: Settlement) -> None:
+        """Bills what ran for a caller who left before its first token."""
+        self.metrics.incr("callers_left.before_first_token")
+        record = self.catalog.catalog().versions.get(step.version)
+        if record is not None and step.received:
+            usage = step.meter.usage_json(step.request.prompt_tokens)
+            settlement.use.add(
+                record, usage["prompt_tokens"], usage["completion_tokens"]
+            )
+        settlement.finish("cancelled", str(step.version), ran=step.received)
+
     def deliver(
         self,
         delivery: Delivery,
         settlement: Settlement,
         headers: dict[str, str],
-        left: Callable[[], bool],
+        left: Callable[[], bool] | None,
     ) -> Result[Answer, Refusal]:
         """Returns the answer of a step, streamed or whole."""
         relay = delivery.relay
@@ -359,20 +372,9 @@
         return Ok(WholeAnswer(body, headers))
 
 
-def read_whole(relay: Relay, left: Callable[[], bool]) -> None:
-    """Reads an answer to its end.
-
-    Raises:
-        CallerLeftError: The caller closed its connection.
-        RelayFailedError: The answer cannot be completed.
-    """
-    next_check = 0.0
-    for _ in relay.blocks():
-        now = time.monotonic()
-        if now >= next_check:
-            next_check = now + LEFT_CHECK_S
-            if left():
-                raise CallerLeftError
+def nothing_planned() -> Refusal:
+    """Returns the refusal of an empty plan."""
+    return refuse(RefusalCode.NO_VERSION, "the plan is empty", "retry later")
 
 
 def sender_check_failed(step: StepRun) -> Refusal:
--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -9,6 +9,7 @@
 
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.protocol.attempt import Attempt
+from amaranthlug.protocol.callers import CallerLeftError
 from amaranthlug.protocol.chat import output_limit
 from amaranthlug.protocol.pace import Pace
 from amaranthlug.protocol.poison import Suspects, poison_digest
@@ -97,7 +98,12 @@
             attempt = self.start(step, picked.ok_value)
             try:
                 opened = attempt.open(self.call(step))
-            except BaseException:
+            except BaseException as error:
+                if isinstance(error, CallerLeftError):
+                    # The request may be on its way already.
+                    step.received = True
+                    attempt.cancel()
+                    attempt.end("cancelled", "", failed=False)
                 attempt.end("error", "", failed=False)
                 raise
             if isinstance(opened, Ok):
--- a/packages/amaranthlug/src/amaranthlug/transport/app.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/app.py
@@ -10,12 +10,9 @@
 import msgspec
 from result import Err
 
+from amaranthlug.protocol.callers import CallerLeftError
 from amaranthlug.protocol.chat import CallerHeaders, too_large
-from amaranthlug.protocol.dispatch import (
-    CallerLeftError,
-    Dispatcher,
-    WholeAnswer,
-)
+from amaranthlug.protocol.dispatch import Dispatcher, WholeAnswer
 from amaranthlug.protocol.service_calls import ServiceCalls
 from amaranthlug.protocol.services import EntryView
 from amaranthlug.state.refusal import Refusal
--- a/packages/amaranthlug/src/amaranthlug/transport/http_pool.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/http_pool.py
@@ -227,6 +227,9 @@
         except OSError as error:
             pool.release_socket(sock)
             return Err(failure(address, error, sent=True))
+        except BaseException:
+            pool.release_socket(sock)
+            raise
         try:
             return Ok(PooledResponse(sock, pool=pool, method=method))
         except (OSError, HTTPParseError) as error:
--- a/test/_fakes.py
+++ b/test/_fakes.py
@@ -119,8 +119,13 @@
         self.catalog = catalog
         self.in_flight = {}
         self.reports = []
+        self.full = set()
+        self.asked = 0
 
     def pick(self, request, version, exclude):
+        self.asked += 1
+        if version in self.full:
+            return Err(refuse(RefusalCode.POOL_EXHAUSTED, "full", "wait"))
         for upstream in self.catalog.now.pools["pool"].upstreams:
             if upstream.address not in exclude:
                 count = self.in_flight.get(upstream.address, 0)
--- a/test/test_server.py
+++ b/test/test_server.py
@@ -139,6 +139,26 @@
     node.bench.check_settled()
 
 
+@pytest.mark.parametrize("stream", [True, False])
+def test_caller_that_leaves_before_the_first_token(node, stream):
+    """An engine that works on for a caller who was never seen to leave."""
+    stub = node.stubs[0]
+    stub.faults = ["mute"]
+    sock = open_stream(node, stream=stream)
+    wait_for(lambda: stub.chats)
+    gevent.sleep(0.15)
+    sock.close()
+    wait_for(lambda: stub.deleted, timeout_s=0.3)
+    (bill,) = node.bench.biller.bills
+    assert (bill.outcome, bill.output_tokens) == ("cancelled", 0)
+    assert bill.prompt_tokens > 0
+    counters = node.bench.metrics.counters
+    assert counters["callers_left.before_first_token"] == 1
+    assert node.bench.chooser.ended[0][1] == "cancelled"
+    assert not node.bench.dispatcher.watch.waiting
+    node.bench.check_settled()
+
+
 def test_caller_of_a_whole_answer_that_leaves(node):
     """An engine that finishes a whole answer for a caller that is gone."""
     stub = node.stubs[0]
