Decide keys of dead runners at once; bound the memory of slot tables

Cause: a key whose runner died stayed "running" until heartbeats showed the node gone (8 s and more), and a duplicate waited up to 30 s, beyond its caller's limit. A keyed request refused with slot_unavailable or run_register_full said not_run: true although an earlier attempt may have run. Tables were bounded by rows only, and run register and session pins repeated the handling of rows at the owner.

Change: while others wait, the owner asks the runner itself; a refused connection or another process there ends the wait. An idempotent key runs again at once, also when its runner is suspected or silent for 4 s; another one gets unknown_outcome. A duplicate waits at most 3 s. RunTicket.registered tells the request path that no owner knows of a run. SlotRegister serves both tables. Rows are kept as JSON; owners add none at 16 MB, copies are refused at 20 MB.

Before these bounds 100,000 rows and 16 MB of answers could take more than 32 MB.

Conclusion: callers learn the outcome, or when to come back, within seconds.

--- a/packages/amaranthlug/src/amaranthlug/coordination/run_register.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/run_register.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from amaranthlug.coordination.peers import PeerHandlers
+from amaranthlug.coordination.runner_watch import RunnerWatch
 from amaranthlug.coordination.slot_refusals import (
     key_reused,
     register_full,
@@ -18,7 +19,8 @@
     slot_unavailable,
     unknown_outcome,
 )
-from amaranthlug.coordination.slot_tables import SlotTable
+from amaranthlug.coordination.slot_register import SlotRegister
+from amaranthlug.coordination.slot_routing import not_owner
 from amaranthlug.coordination.slots import SlotKeeper
 from amaranthlug.state.leases import slot_of
 from amaranthlug.state.refusal import Refusal
@@ -32,8 +34,9 @@
 
 TABLE = "runs"
 
-WAIT_S = 30.0
-"""Longest wait for a running request with the same key, in seconds."""
+WAIT_S = 3.0
+"""Longest wait for a running request with the same key, in seconds. It is far
+below callers' own limits, so that they learn when to come back."""
 
 LONG_POLL_S = 0.5
 """Longest wait of the owner within one message, in seconds."""
@@ -46,9 +49,9 @@
 """Longest answer that is kept. A longer one is replaced by the fact that the
 key ran, so a repeated request gets `unknown_outcome`."""
 
-ALL_ANSWERS_BYTES = 16_000_000
-"""Answers kept on a node in all, half of its memory for control; the oldest
-are dropped beyond, with the same effect."""
+ALL_ANSWERS_BYTES = 6_000_000
+"""Answers kept on a node in all, under half of the memory of its slot tables;
+the oldest are dropped beyond, with the same effect."""
 
 SWEEP_S = 30.0
 """Period in which expired keys are removed, in seconds."""
@@ -82,9 +85,11 @@
         """Adds the table and registers handlers; `start` begins the sweep."""
         self.keeper = keeper
         self.me = keeper.me
-        self.bound = bound
-        self.table = SlotTable(TABLE, run_newer)
-        keeper.tables.add(self.table)
+        self.rows = SlotRegister(
+            keeper, TABLE, RunRow, run_newer, bound, self.sweep
+        )
+        self.table = self.rows.table
+        self.runners = RunnerWatch(keeper)
         self.waiting: dict[str, Event] = {}
         self.active: dict[tuple[str, str], tuple[str, str]] = {}
         self.unsent: OrderedDict[str, RunEnd] = OrderedDict()
@@ -155,8 +160,8 @@
         self.keep_unsent(end)
         if idempotent:
             self.keeper.metrics.incr("runs.unregistered")
-            return Ok(RunTicket(True))
-        return Err(slot_unavailable(reason))
+            return Ok(RunTicket(True, registered=False))
+        return Err(slot_unavailable(reason, keyed=True))
 
     def ticket(
         self, outcome: str, answer: dict[str, Any] | None
@@ -169,7 +174,7 @@
         if outcome == "reused":
             return Err(key_reused())
         if outcome == "full":
-            return Err(register_full(self.bound))
+            return Err(register_full(self.rows.bound))
         return Err(unknown_outcome())
 
     def end(
@@ -220,21 +225,22 @@
         """Decides on a key; a new run is copied before it is allowed."""
         slot, key = message["slot"], message["key"]
         if self.keeper.holds(slot) is None:
-            return {"retry": "not_owner"}
-        row = self.row(slot, key)
+            return not_owner(self.keeper, slot)
+        row = self.rows.row(slot, key)
         outcome = self.judge(slot, row, message)
         if outcome == "running":
-            return self.wait(slot, key, message)
+            assert row is not None
+            return self.wait(slot, key, row.runner)
         if outcome == "done" and row is not None:
             return {"outcome": "done", "answer": row.answer}
         if outcome != "run":
             return {"outcome": outcome}
         if row is None or row.run_id != message["run_id"]:
-            if row is None and not self.has_room():
+            if row is None and not self.rows.has_room():
                 return {"outcome": "full"}
             row = self.new_row(slot, row, message)
-            self.put(slot, key, row)
-        if not self.replicate(slot, key, row):
+            self.rows.put(slot, key, row)
+        if not self.rows.replicate(slot, key, row):
             return {"retry": "copies"}
         return {"outcome": "run"}
 
@@ -258,7 +264,7 @@
             if row.answer is not None:
                 return "done"
             return "run" if idempotent else "unknown"
-        if self.runs_there(row.runner):
+        if self.runners.may_end(row.runner, idempotent):
             return "running"
         return "run" if idempotent else "unknown"
 
@@ -270,32 +276,37 @@
             return False
         return issued_ms is None or issued_ms <= since + ISSUED_AFTER_MS
 
-    def runs_there(self, runner: str) -> bool:
-        """Tells whether the node that runs a request may still end it."""
-        member = self.keeper.members.by_incarnation(runner)
-        return member is not None and member.counts()
-
-    def wait(
-        self, slot: int, key: str, message: dict[str, Any]
-    ) -> dict[str, Any]:
+    def wait(self, slot: int, key: str, runner: str) -> dict[str, Any]:
         """Waits a moment for the end of the run."""
         event = self.waiting.setdefault(key, Event())
+        gevent.spawn(self.check_runner, key, runner)
         event.wait(LONG_POLL_S)
-        row = self.row(slot, key)
+        row = self.rows.row(slot, key)
         if self.keeper.holds(slot) is None or row is None:
-            return {"retry": "not_owner"}
+            return not_owner(self.keeper, slot)
         if row.state == RunState.DONE and row.answer is not None:
             return {"outcome": "done", "answer": row.answer}
         # Anything else is decided by the next message.
         return {"outcome": "running"}
 
+    def check_runner(self, key: str, runner: str) -> None:
+        """Ends the wait at once when the runner's process is gone."""
+        if self.runners.check(runner):
+            self.wake(key)
+
+    def wake(self, key: str) -> None:
+        """Lets waiting requests with a key be judged again."""
+        event = self.waiting.pop(key, None)
+        if event is not None:
+            event.set()
+
     def on_end(self, message: dict[str, Any]) -> dict[str, Any]:
         """Stores the end of a run, on all copies."""
         slot, key = message["slot"], message["key"]
         lease = self.keeper.holds(slot)
         if lease is None:
-            return {"retry": "not_owner"}
-        row = self.row(slot, key)
+            return not_owner(self.keeper, slot)
+        row = self.rows.row(slot, key)
         if row is not None and row.run_id != message["run_id"]:
             return {}  # Another attempt was allowed meanwhile.
         # An unknown key is noted as freed too: a delayed `run_begin` of the
@@ -313,13 +324,11 @@
             size=len(msgspec.json.encode(answer)) if answer else 0,
         )
         if row is None or ended.rank() > row.rank():
-            self.put(slot, key, ended)
+            self.rows.put(slot, key, ended)
         else:
             ended = row
-        copied = self.replicate(slot, key, ended)
-        event = self.waiting.pop(key, None)
-        if event is not None:
-            event.set()
+        copied = self.rows.replicate(slot, key, ended)
+        self.wake(key)
         return {} if copied else {"retry": "copies"}
 
     def new_row(
@@ -337,37 +346,16 @@
             at_ms=self.keeper.now_ms(),
         )
 
-    def row(self, slot: int, key: str) -> RunRow | None:
-        """Returns a row or None."""
-        found = self.table.get(slot, key)
-        return None if found is None else msgspec.convert(found, RunRow)
-
-    def put(self, slot: int, key: str, row: RunRow) -> None:
-        """Sets a row."""
-        self.table.put(slot, key, msgspec.to_builtins(row))
-
-    def replicate(self, slot: int, key: str, row: RunRow) -> bool:
-        """Copies a row to all successors."""
-        return self.keeper.replicate(
-            slot, TABLE, {key: msgspec.to_builtins(row)}
-        )
-
     # Bounds
 
-    def has_room(self) -> bool:
-        """Tells whether a key can be added, after a sweep if need be."""
-        if self.table.count >= self.bound:
-            self.sweep()
-        return self.table.count < self.bound
-
     def sweep(self) -> None:
         """Removes expired keys and the oldest answers beyond their bound."""
         retention_ms = 1000 * self.keeper.timings.run_retention_s
         expired = self.keeper.now_ms() - retention_ms
         answers: list[tuple[int, int, str]] = []
         total = 0
-        for slot, rows in list(self.table.slots.items()):
-            for key, row in list(rows.items()):
+        for slot in list(self.table.slots):
+            for key, row in self.table.rows(slot):
                 if row["at_ms"] < expired:
                     self.table.remove(slot, key)
                 elif row["answer"] is not None:
--- a/packages/amaranthlug/src/amaranthlug/coordination/session_pins.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/session_pins.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import gevent
-import msgspec
 from result import Err, Ok, Result
 
 from amaranthlug.coordination.peers import PeerHandlers
@@ -13,7 +12,8 @@
     slot_unavailable,
     too_many_sessions,
 )
-from amaranthlug.coordination.slot_tables import SlotTable
+from amaranthlug.coordination.slot_register import SlotRegister
+from amaranthlug.coordination.slot_routing import not_owner
 from amaranthlug.coordination.slots import SlotKeeper
 from amaranthlug.state.catalog import VersionId
 from amaranthlug.state.leases import slot_of
@@ -59,8 +59,10 @@
         self.valid = valid
         self.bound = bound
         self.idle_s = keeper.timings.session_idle_s
-        self.table = SlotTable(TABLE, pin_newer)
-        keeper.tables.add(self.table)
+        self.rows = SlotRegister(
+            keeper, TABLE, PinRow, pin_newer, bound, self.sweep
+        )
+        self.table = self.rows.table
         self.unconfirmed: set[tuple[int, str]] = set()
         self.cache: OrderedDict[str, tuple[VersionId, float]] = OrderedDict()
         handlers.register("pin", self.on_pin)
@@ -96,7 +98,7 @@
                 return Ok(kept)
             # The owner's configuration is older than this node's.
             invalid = kept
-        return Err(slot_unavailable("its configuration is older"))
+        return Err(slot_unavailable("its configuration is older", keyed=False))
 
     def ask(
         self,
@@ -122,7 +124,7 @@
             if cached is not None:
                 self.keeper.metrics.incr("pins.from_cache")
                 return Ok(cached)
-            return Err(slot_unavailable(reply.err_value.message))
+            return Err(slot_unavailable(reply.err_value.message, keyed=False))
         if reply.ok_value.get("full"):
             return Err(too_many_sessions(self.bound))
         version = reply.ok_value["version"]
@@ -156,15 +158,15 @@
         slot, key = message["slot"], message["key"]
         lease = self.keeper.holds(slot)
         if lease is None:
-            return {"retry": "not_owner"}
-        old = self.row(slot, key)
+            return not_owner(self.keeper, slot)
+        old = self.rows.row(slot, key)
         row = old
         if old is None or self.must_move(old, message):
             if message["proposal"] is None:
                 # A moved session reads its old version and why it moves.
                 idle = old is None or self.is_idle(old)
                 return {"version": None if idle or not old else old.version}
-            if old is None and not self.has_room():
+            if old is None and not self.rows.has_room():
                 return {"full": True}
             row = PinRow(
                 version=message["proposal"],
@@ -172,11 +174,11 @@
                 fence=lease.offset,
                 used_ms=self.keeper.now_ms(),
             )
-            self.put(slot, key, row)
+            self.rows.put(slot, key, row)
             self.unconfirmed.add((slot, key))
         assert row is not None
         if (slot, key) in self.unconfirmed:
-            if not self.replicate(slot, key, row):
+            if not self.rows.replicate(slot, key, row):
                 return {"retry": "copies"}
             self.unconfirmed.discard((slot, key))
         self.touch(slot, key, row)
@@ -198,37 +200,16 @@
         now_ms = self.keeper.now_ms()
         if now_ms - row.used_ms >= 1000 * TOUCH_S:
             row.used_ms = now_ms
-            self.put(slot, key, row)
-            gevent.spawn(self.replicate, slot, key, row)
-
-    def row(self, slot: int, key: str) -> PinRow | None:
-        """Returns a row or None."""
-        found = self.table.get(slot, key)
-        return None if found is None else msgspec.convert(found, PinRow)
-
-    def put(self, slot: int, key: str, row: PinRow) -> None:
-        """Sets a row."""
-        self.table.put(slot, key, msgspec.to_builtins(row))
-
-    def replicate(self, slot: int, key: str, row: PinRow) -> bool:
-        """Copies a row to all successors."""
-        return self.keeper.replicate(
-            slot, TABLE, {key: msgspec.to_builtins(row)}
-        )
+            self.rows.put(slot, key, row)
+            gevent.spawn(self.rows.replicate, slot, key, row)
 
     # Bounds
 
-    def has_room(self) -> bool:
-        """Tells whether a pin can be added, after a sweep if need be."""
-        if self.table.count >= self.bound:
-            self.sweep()
-        return self.table.count < self.bound
-
     def sweep(self) -> None:
         """Removes idle pins."""
         oldest = self.keeper.now_ms() - 1000 * self.idle_s
-        for slot, rows in list(self.table.slots.items()):
-            for key, row in list(rows.items()):
+        for slot in list(self.table.slots):
+            for key, row in self.table.rows(slot):
                 if row["used_ms"] < oldest:
                     self.table.remove(slot, key)
                     self.unconfirmed.discard((slot, key))
--- a/packages/amaranthlug/src/amaranthlug/coordination/slot_refusals.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/slot_refusals.py
@@ -5,25 +5,36 @@
 RETRY_AFTER_S = 2.0
 """Wait asked of callers: a takeover ends within a few such waits."""
 
+SAME_KEY = "send the request again with the same key"
 
-def slot_unavailable(reason: str) -> Refusal:
-    """Returns the refusal of a key whose slot has no acting owner."""
+
+def slot_unavailable(reason: str, keyed: bool) -> Refusal:
+    """Returns the refusal of a request whose slot has no acting owner.
+
+    Args:
+        reason: What happened at the last try.
+        keyed: The request needs its key's record, which may show an earlier
+            attempt that ran; otherwise it needs only a session's pin.
+    """
     return refuse(
         RefusalCode.SLOT_UNAVAILABLE,
-        f"the owner of the key cannot act now: {reason}",
-        "send the request again with the same key",
-        not_run=True,
+        f"the owner of the slot cannot act now: {reason}",
+        SAME_KEY if keyed else "send the request again",
+        not_run=not keyed,
         retry_after_s=RETRY_AFTER_S,
     )
 
 
 def register_full(bound: int) -> Refusal:
-    """Returns the refusal at the bound of the run register."""
+    """Returns the refusal at the bound of the run register.
+
+    An earlier attempt with the key may have run and be forgotten here.
+    """
     return refuse(
         RefusalCode.RUN_REGISTER_FULL,
         f"the run register holds its bound of {bound} keys",
-        "retry later, or raise bounds.runs",
-        not_run=True,
+        f"{SAME_KEY}; operators can raise bounds.runs",
+        not_run=False,
         retry_after_s=60.0,
     )
 
--- a/packages/amaranthlug/src/amaranthlug/coordination/slot_tables.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/slot_tables.py
@@ -1,38 +1,60 @@
 """Tables kept per slot by an owner and its copies: merge, export, drop."""
 
-import itertools
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import msgspec
+
 Row = dict[str, Any]
 
 CHUNK_ROWS = 1_000
-"""Rows in one message of a transfer."""
+"""Most rows in one message of a transfer."""
+
+CHUNK_BYTES = 500_000
+"""Bytes of rows after which a message of a transfer is full."""
+
+ROW_BYTES = 150
+"""Memory of a row beside its JSON: the key of 32 characters, the head of the
+bytes object and the place in the dictionary, as measured."""
+
+DEFAULT_BYTES = 16_000_000
+"""Memory of all rows at which owners stop to add any. With `COPY_SHARE` it is
+20 of the 32 MB of control; docs/CAPACITY.md has the rest."""
+
+COPY_SHARE = 1.25
+"""Copies of other owners are taken up to this multiple of the bound. Owners
+stop at the bound, so their copies are refused only on an uneven spread."""
 
 
 class SlotTable:
     """Rows by slot and key; of two rows the one that is `newer` stays.
 
     `newer(a, b)` must be a strict order over the rows of a key, so that merges
-    commute and may be repeated.
+    commute and may be repeated. Rows are kept as JSON, which takes about a
+    third of the memory of a dictionary.
     """
 
     def __init__(self, name: str, newer: Callable[[Row, Row], bool]):
         """Creates an empty table; `name` identifies it in messages."""
         self.name = name
         self.newer = newer
-        self.slots: dict[int, dict[str, Row]] = {}
+        self.slots: dict[int, dict[str, bytes]] = {}
         self.count = 0
+        self.bytes = 0
 
     def get(self, slot: int, key: str) -> Row | None:
         """Returns a row or None."""
-        return self.slots.get(slot, {}).get(key)
+        packed = self.slots.get(slot, {}).get(key)
+        return None if packed is None else msgspec.json.decode(packed)
 
     def put(self, slot: int, key: str, row: Row) -> None:
         """Sets a row."""
-        rows = self.slots.setdefault(slot, {})
-        self.count += key not in rows
-        rows[key] = row
+        self.remove(slot, key)
+        # The encoder's own result keeps unused memory behind its end.
+        packed = bytes(memoryview(msgspec.json.encode(row)))
+        self.slots.setdefault(slot, {})[key] = packed
+        self.count += 1
+        self.bytes += len(packed) + ROW_BYTES
 
     def merge(self, slot: int, rows: dict[str, Row]) -> None:
         """Takes over the rows that are newer than this node's."""
@@ -43,17 +65,33 @@
 
     def remove(self, slot: int, key: str) -> None:
         """Removes a row if it is there."""
-        if self.slots.get(slot, {}).pop(key, None) is not None:
+        packed = self.slots.get(slot, {}).pop(key, None)
+        if packed is not None:
             self.count -= 1
+            self.bytes -= len(packed) + ROW_BYTES
 
     def drop(self, slot: int) -> None:
         """Removes all rows of a slot."""
-        self.count -= len(self.slots.pop(slot, {}))
+        rows = self.slots.pop(slot, {})
+        self.count -= len(rows)
+        self.bytes -= sum(len(packed) + ROW_BYTES for packed in rows.values())
+
+    def rows(self, slot: int) -> Iterator[tuple[str, Row]]:
+        """Yields the rows of a slot; they may be changed meanwhile."""
+        for key, packed in list(self.slots.get(slot, {}).items()):
+            yield key, msgspec.json.decode(packed)
 
     def chunks(self, slot: int) -> Iterator[dict[str, Row]]:
         """Yields the rows of a slot in parts of bounded size."""
-        rows = iter(list(self.slots.get(slot, {}).items()))
-        while chunk := dict(itertools.islice(rows, CHUNK_ROWS)):
+        chunk: dict[str, Row] = {}
+        size = 0
+        for key, packed in list(self.slots.get(slot, {}).items()):
+            chunk[key] = msgspec.json.decode(packed)
+            size += len(packed)
+            if size >= CHUNK_BYTES or len(chunk) >= CHUNK_ROWS:
+                yield chunk
+                chunk, size = {}, 0
+        if chunk:
             yield chunk
 
 
@@ -65,9 +103,10 @@
             lacked a copy.
     """
 
-    def __init__(self, retention_s: float):
+    def __init__(self, retention_s: float, bound_bytes: int = DEFAULT_BYTES):
         """Creates an empty set; a slot is incomplete for `retention_s`."""
         self.retention_s = retention_s
+        self.bound_bytes = bound_bytes
         self.tables: dict[str, SlotTable] = {}
         self.incomplete: dict[int, int] = {}
 
@@ -81,6 +120,18 @@
             raise ValueError(f"slot table {table.name!r} is added twice")
         self.tables[table.name] = table
 
+    def bytes(self) -> int:
+        """Returns the memory of all rows."""
+        return sum(table.bytes for table in self.tables.values())
+
+    def is_full(self) -> bool:
+        """Tells whether owners must not add rows."""
+        return self.bytes() >= self.bound_bytes
+
+    def takes_copies(self) -> bool:
+        """Tells whether this node takes rows of other owners."""
+        return self.bytes() < COPY_SHARE * self.bound_bytes
+
     def mark_incomplete(self, slot: int, at_ms: int) -> None:
         """Notes that keys before `at_ms` may be unknown here."""
         self.incomplete[slot] = max(at_ms, self.incomplete.get(slot, 0))
--- a/packages/amaranthlug/src/amaranthlug/coordination/slots.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/slots.py
@@ -341,6 +341,9 @@
             return {"ok": False}
         if not whole and not self.obeys(slot, offset, message["incarnation"]):
             return {"ok": False}
+        if not self.tables.takes_copies():
+            self.metrics.incr("slots.copies_refused")
+            return {"ok": False}
         self.tables.merge(slot, message)
         if message.get("last"):
             self.synced[slot] = offset
--- a/packages/amaranthlug/src/amaranthlug/state/runs.py
+++ b/packages/amaranthlug/src/amaranthlug/state/runs.py
@@ -15,10 +15,13 @@
     Attributes:
         run: True when the caller of `begin` must run the request.
         answer: Stored answer of an earlier run when `run` is False.
+        registered: False when no slot owner knows of the run, so that an
+            earlier attempt with the key may have run.
     """
 
     run: bool
     answer: dict[str, Any] | None = None
+    registered: bool = True
 
 
 class RunState(enum.IntEnum):
--- a/test/test_slot_parts.py
+++ b/test/test_slot_parts.py
@@ -4,6 +4,7 @@
 import pytest
 from _fakes_fleet import Fleet, settle
 
+from amaranthlug.coordination.slot_tables import SlotTable
 from amaranthlug.state.catalog import VersionId
 from amaranthlug.state.leases import slot_of
 from amaranthlug.state.runs import row_key
@@ -36,6 +37,9 @@
         node.runs.begin, SCOPE, key, digest, idempotent, issued_ms
     )
     if result.is_err():
+        assert result.err_value.not_run == (
+            str(result.err_value.code) == "key_reused"
+        )
         return str(result.err_value.code)
     return "run" if result.ok_value.run else result.ok_value.answer
 
@@ -103,6 +107,27 @@
     assert begin(fleet, survivor, "k") == "unknown_outcome"
 
 
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_key_of_a_dead_runner_is_decided_at_once(fleet, idempotent):
+    """A caller that sends its key again must not wait for a dead node."""
+    _, _, others = owner_of(fleet, "k")
+    assert begin(fleet, others[0], "k", idempotent=idempotent) == "run"
+    fleet.kill(others[0].me.address)
+    started = fleet.time
+    outcome = begin(fleet, others[1], "k", idempotent=idempotent)
+    assert outcome == ("run" if idempotent else "unknown_outcome")
+    assert fleet.time - started <= 1.0
+
+
+def test_duplicate_of_a_long_run_is_told_to_come_back(fleet):
+    """A duplicate that waits until its caller gives up learns nothing."""
+    one, two = fleet.nodes["n1"], fleet.nodes["n2"]
+    assert begin(fleet, one, "k") == "run"
+    result = fleet.call(two.runs.begin, SCOPE, "k", "d", False)
+    assert str(result.err_value.code) == "run_in_progress"
+    assert result.err_value.retry_after_s
+
+
 def test_paused_owner_that_wakes_allows_no_run(fleet):
     """The woken owner's copies are refused, so it can acknowledge nothing."""
     owner, _, _ = owner_of(fleet, "k")
@@ -176,10 +201,34 @@
 def test_full_register_refuses(fleet):
     """An unbounded register would take the node's memory."""
     owner, _, others = owner_of(fleet, "k")
-    owner.runs.bound = owner.runs.table.count
+    owner.runs.rows.bound = owner.runs.table.count
     assert begin(fleet, others[0], "k") == "run_register_full"
 
 
+def test_full_memory_refuses_new_keys_and_copies(fleet):
+    """Long answers fill the memory of a node before the count of keys does."""
+    owner, copies, others = owner_of(fleet, "k")
+    owner.slots.tables.bound_bytes = owner.slots.tables.bytes()
+    assert begin(fleet, others[0], "k") == "run_register_full"
+    owner.slots.tables.bound_bytes = 1_000
+    copies[0].slots.tables.bound_bytes = copies[0].slots.tables.bytes()
+    assert begin(fleet, others[0], "k") == "slot_unavailable"
+
+
+def test_memory_of_rows_is_counted():
+    """A count that drifts would refuse keys, or never do it."""
+    table = SlotTable("t", lambda new, old: new["n"] > old["n"])
+    for number in range(50):
+        table.merge(number % 3, {f"k{number % 7}": {"n": number, "x": "y"}})
+    table.remove(1, "k1")
+    table.drop(0)
+    assert table.count == sum(map(len, table.slots.values())) > 0
+    for slot in range(3):
+        for key, _ in table.rows(slot):
+            table.remove(slot, key)
+    assert (table.count, table.bytes) == (0, 0)
+
+
 def pin(fleet, node, version, session="s"):
     """Pins a session and returns the version."""
     return fleet.call(node.pins.pin, "ch-5", session, version).ok_value
@@ -223,6 +272,7 @@
     assert pin(fleet, node, TWO) == ONE
     result = fleet.call(others[1].pins.pin, "ch-5", "s", TWO)
     assert str(result.err_value.code) == "slot_unavailable"
+    assert result.err_value.not_run
 
 
 def test_idle_session_loses_its_pin():
