Find bills of more tokens than engines generated

A bill without a run, or of too many tokens, passed the rule billed-once. The rule now compares each bill with the runs of its request.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/history_rules.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/history_rules.py
@@ -21,6 +21,7 @@
     session_moves,
 )
 from amaranthlug_standins.run_history import FAULT, Act, History
+from amaranthlug_standins.truth import EngineRun, Truth
 from amaranthlug_standins.violations import Violation, call_line, run_line
 
 CONFIG_LIMIT_S = 12.0
@@ -104,9 +105,9 @@
 
 
 def billed_once(history: History) -> list[Violation]:
-    """Finds requests with too many bills or without one."""
-    found = []
+    """Finds requests with too many bills, without one or with too much."""
     truth = history.truth()
+    found = overcharged(history, truth)
     for call in chats(history):
         bills = billed(call, truth)
         if not (bills.twice or bills.missing):
@@ -120,6 +121,25 @@
     return found
 
 
+def overcharged(history: History, truth: Truth) -> list[Violation]:
+    """Finds bills of more tokens than engines generated for the request."""
+    runs: dict[str, list[EngineRun]] = {}
+    for run in history.runs:
+        runs.setdefault(run.request_id, []).append(run)
+    found = []
+    for bill in truth.bills.values():
+        ran = runs.get(bill.request_id, [])
+        generated = sum(run.generated for run in ran)
+        if bill.output_tokens > generated:
+            text = (
+                f"{bill.request_id} is billed for {bill.output_tokens} tokens, "
+                f"engines generated {generated}"
+            )
+            lines = (str(bill), *map(run_line, ran))
+            found.append(Violation("billed-once", text, lines))
+    return found
+
+
 def whole_answer(history: History) -> list[Violation]:
     """Finds calls without the whole answer to their own request.
 
--- a/test/test_history_rules.py
+++ b/test/test_history_rules.py
@@ -40,7 +40,10 @@
 
 def bills(*names):
     """Builds a record with bills."""
-    entries = [msgspec.to_builtins(builders.make_bill(name)) for name in names]
+    entries = [
+        msgspec.to_builtins(builders.make_bill(name, output_tokens=5))
+        for name in names
+    ]
     return {"type": "bill_chunk", "entries": entries, "offset": 9}
 
 
@@ -172,6 +175,11 @@
     ("rule", "values"),
     [
         ("billed-once", {"runs": [run(1), run(1, request_id="r2"), run(2)]}),
+        ("billed-once", {"runs": [run(1), run(2, generated=4)]}),
+        (
+            "billed-once",
+            {"records": [publication(0, 1.0), bills("r1", "r2", "r3")]},
+        ),
         ("whole-answer", {"calls": [call(1), call(2, own=False)]}),
         ("whole-answer", {"calls": [call(1), call(2, outcome="failed")]}),
         (
