--- a/packages/amaranthlug-standins/src/amaranthlug_standins/caller.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/caller.py
@@ -85,6 +85,7 @@
         while call.attempts < MAX_ATTEMPTS:
             call.attempts += 1
             self.attempt(avoid)
+            call.cut += call.outcome == FAILED
             if call.outcome == ANSWERED or not self.may_retry():
                 break
             if call.attempts < MAX_ATTEMPTS:
--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/graceful_shutdown.py
@@ -0,0 +1,61 @@
+"""Two nodes shut down gracefully while callers keep cached entry answers."""
+
+from collections.abc import Mapping
+
+from amaranthlug_standins.counts import Counts
+from amaranthlug_standins.fault_schedule import Act, Plan, Stage, run_plan
+from amaranthlug_standins.fleet_parts import RunningNode
+from amaranthlug_standins.trial import Progress
+from amaranthlug_standins.truth import Truth
+
+LOAD_S = 24.0
+RATE = 40.0
+FIRST_AT_S = 3.0
+SECOND_AT_S = 11.0
+
+EXIT_LIMIT_S = 25.0
+"""Longest wait for the end of a node; it keeps serving for the 5 s that
+callers may cache `/v1/entry`, and then finishes its requests."""
+
+
+def shut_down(stage: Stage, node: RunningNode) -> None:
+    """Stops a node gracefully and keeps its exit code."""
+    node.stop()
+    codes = stage.results.setdefault("exit_codes", [])
+    codes.append(node.exit_code(EXIT_LIMIT_S))
+
+
+def shut_down_first(stage: Stage) -> None:
+    """Stops the first node."""
+    shut_down(stage, stage.fleet.nodes[0])
+
+
+def shut_down_second(stage: Stage) -> None:
+    """Stops the second node."""
+    shut_down(stage, stage.fleet.nodes[1])
+
+
+def check_exits(stage: Stage, truth: Truth, counts: Counts) -> None:
+    """Requires that no attempt was cut and that all exit codes are 0."""
+    codes = stage.results.get("exit_codes", [])
+    counts.notes["exit_codes"] = codes
+    counts.require(set(codes) == {0}, f"exit codes are {codes}")
+    cut = counts.cut_attempts
+    counts.require(cut == 0, f"{cut} attempts were cut by a shutdown")
+
+
+PLAN = Plan(
+    "graceful-shutdown",
+    LOAD_S,
+    RATE,
+    (
+        Act(FIRST_AT_S, "first", shut_down_first),
+        Act(SECOND_AT_S, "second", shut_down_second),
+    ),
+    check_exits,
+)
+
+
+def run(seed: int, progress: Progress) -> Mapping[str, Counts]:
+    """Runs the scenario and returns counts by deployment."""
+    return run_plan(PLAN, seed, progress)
--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/one_bad_server.py
@@ -0,0 +1,65 @@
+"""One engine answers wrongly on all its versions."""
+
+import time
+from collections.abc import Mapping
+
+from amaranthlug_standins.counts import Counts
+from amaranthlug_standins.fault_schedule import Act, Plan, Stage, run_plan
+from amaranthlug_standins.trial import Progress
+from amaranthlug_standins.truth import Truth
+
+LOAD_S = 28.0
+RATE = 50.0
+TURNS_AT_S = 8.0
+LAST_S = 5.0
+"""Length of the window at the end in which the engine's work is counted."""
+
+
+def turn_bad(stage: Stage) -> None:
+    """Makes a random engine answer wrongly on all versions."""
+    engine = stage.random.choice(stage.fleet.engines)
+    stage.results["engine"] = engine
+    names = [str(version) for version in stage.fleet.deployment.qualities]
+    engine.fault(bad_versions=dict.fromkeys(names, 1.0))
+    stage.results["turned_at"] = time.time()
+
+
+def check(stage: Stage, truth: Truth, counts: Counts) -> None:
+    """Requires that no version is withdrawn because of the engine."""
+    withdrawn = counts.notes["withdrawn"]
+    counts.require(not withdrawn, f"{withdrawn} withdrawn for one engine")
+    turned_at = stage.results["turned_at"]
+    runs = [
+        run
+        for run in stage.results["engine"].seen()["runs"]
+        if run["started_at"] >= turned_at
+    ]
+    ends = max(run[-1].started_at for run in truth.runs.values())
+    counts.notes["wrong_runs"] = len(runs)
+    counts.notes["wrong_runs_last_5_s"] = sum(
+        run["started_at"] > ends - LAST_S for run in runs
+    )
+    by_version: dict[str, list[float]] = {}
+    for run in runs:
+        after_s = round(run["started_at"] - turned_at, 2)
+        by_version.setdefault(run["version"], []).append(after_s)
+    counts.notes["last_work_s_by_version"] = {
+        version: max(times) for version, times in by_version.items()
+    }
+    counts.notes["wrong_runs_by_version"] = {
+        version: len(times) for version, times in by_version.items()
+    }
+
+
+PLAN = Plan(
+    "one-bad-server",
+    LOAD_S,
+    RATE,
+    (Act(TURNS_AT_S, "turns bad", turn_bad),),
+    check,
+)
+
+
+def run(seed: int, progress: Progress) -> Mapping[str, Counts]:
+    """Runs the scenario and returns counts by deployment."""
+    return run_plan(PLAN, seed, progress)
--- /dev/null
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/turns_bad.py
@@ -0,0 +1,47 @@
+"""A version at full share turns bad under load."""
+
+import time
+from collections.abc import Mapping
+
+from amaranthlug_standins.counts import Counts
+from amaranthlug_standins.experiments.exposure import check_exposure
+from amaranthlug_standins.fault_schedule import (
+    Act,
+    Plan,
+    Stage,
+    run_plan,
+    set_engine_faults,
+)
+from amaranthlug_standins.trial import Progress
+from amaranthlug_standins.truth import Truth
+
+LOAD_S = 24.0
+RATE = 40.0
+TURNS_AT_S = 10.0
+
+
+def turn_bad(stage: Stage) -> None:
+    """Makes the version in most use answer wrongly on all engines."""
+    version = stage.versions_answered().most_common(1)[0][0]
+    stage.bad_since[version] = time.time()
+    stage.results["bad"] = version
+    set_engine_faults(stage, bad_versions={version: 1.0})
+
+
+def check(stage: Stage, truth: Truth, counts: Counts) -> None:
+    """Requires that the version is withdrawn and then gets no work."""
+    check_exposure(stage, truth, counts, stage.results["bad"])
+
+
+PLAN = Plan(
+    "turns-bad",
+    LOAD_S,
+    RATE,
+    (Act(TURNS_AT_S, "turns bad", turn_bad),),
+    check,
+)
+
+
+def run(seed: int, progress: Progress) -> Mapping[str, Counts]:
+    """Runs the scenario and returns counts by deployment."""
+    return run_plan(PLAN, seed, progress)
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
@@ -1,7 +1,9 @@
 """Options and running parts of a fleet."""
 
 import dataclasses
+import signal
 import socket
+import subprocess
 from collections.abc import Callable
 from typing import Any
 
@@ -91,6 +93,25 @@
         if self.child is not None:
             self.child.terminate()
 
+    def pause(self) -> None:
+        """Stops a node process until `resume`, as a paused VM does."""
+        if self.child is not None:
+            self.child.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Lets a paused node process go on."""
+        if self.child is not None:
+            self.child.process.send_signal(signal.SIGCONT)
+
+    def exit_code(self, limit_s: float) -> int | None:
+        """Waits for the end of a node process; None if it still runs."""
+        if self.child is None:
+            return None
+        try:
+            return int(self.child.process.wait(timeout=limit_s))
+        except subprocess.TimeoutExpired:
+            return None
+
     def kill(self) -> None:
         """Ends the node at once, as the loss of its VM does."""
         if self.child is not None:
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
@@ -27,7 +27,7 @@
         outcome: `answered`, `refused` or `failed`.
         code: Refusal code, or the error of a failure.
         moved: Header `X-Session-Moved`.
-        sent: The request may have left in some attempt.
+        cut: Attempts that ended with neither an answer nor a refusal.
     """
 
     number: int
@@ -50,6 +50,7 @@
     first_token_s: float = -1.0
     total_s: float = 0.0
     attempts: int = 0
+    cut: int = 0
     status: int = 0
     outcome: str = FAILED
     code: str = ""
