--- a/packages/amaranthlug-ui/src/amaranthlug_ui/experiment.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/experiment.py
@@ -3,6 +3,7 @@
 import dataclasses
 import importlib
 import json
+import signal
 import sys
 from typing import Any
 
@@ -53,6 +54,8 @@
             f"{', '.join(scenarios)}"
         )
     scenario = scenarios[name]
+    # The default action would leave the node processes behind.
+    signal.signal(signal.SIGTERM, end_by_signal)
     with ProgressBar(scenario.length_s, name) as step:
         counts = scenario.run(seed, step)
     if as_json:
@@ -63,6 +66,15 @@
     sys.exit(max(item.exit_code() for item in counts.values()))
 
 
+def end_by_signal(number: int, frame: Any) -> None:
+    """Ends the command so that its fleet is stopped.
+
+    Raises:
+        SystemExit: With the usual code of an end by signal.
+    """
+    sys.exit(128 + number)
+
+
 class ProgressBar:
     """Bar over seconds of load, on standard error."""
 
