--- a/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
@@ -27,6 +27,7 @@
         outcome: `answered`, `refused` or `failed`.
         code: Refusal code, or the error of a failure.
         moved: Header `X-Session-Moved`.
+        resent: Other sendings with the same key exist outside this record.
         cut: Attempts that ended with neither an answer nor a refusal.
     """
 
@@ -50,6 +51,7 @@
     first_token_s: float = -1.0
     total_s: float = 0.0
     attempts: int = 0
+    resent: bool = False
     cut: int = 0
     status: int = 0
     outcome: str = FAILED
