--- a/packages/amaranthlug-standins/src/amaranthlug_standins/config_watch.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/config_watch.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import time
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any, Protocol
 
 import gevent
@@ -76,13 +76,3 @@
         if not behind or time.monotonic() >= ends:
             return behind
         gevent.sleep(POLL_S)
-
-
-def accepted_offsets(records: Iterable[Mapping[str, Any]]) -> list[int]:
-    """Returns offsets of accepted publications, by the rule of the log."""
-    revision, accepted = -1, []
-    for record in records:
-        if record.get("type") == "publication" and record["base"] == revision:
-            revision = record["offset"]
-            accepted.append(revision)
-    return accepted
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/config_race.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/config_race.py
@@ -10,11 +10,8 @@
 
 from amaranthlug.state.records import Withdrawal
 from amaranthlug_standins.builders import make_publication
-from amaranthlug_standins.config_watch import (
-    RevisionWatch,
-    accepted_offsets,
-    nodes_behind,
-)
+from amaranthlug_standins.config_timeline import accepted_revisions
+from amaranthlug_standins.config_watch import RevisionWatch, nodes_behind
 from amaranthlug_standins.counts import Counts
 from amaranthlug_standins.deployments import hengyun
 from amaranthlug_standins.fleet import Fleet
@@ -112,7 +109,9 @@
         acts.append(gevent.spawn(race.withdraw))
         trial.load.run(progress)
         gevent.joinall(acts, raise_error=True)
-        accepted = accepted_offsets(fleet.records())
+        accepted = [
+            found.offset for found in accepted_revisions(fleet.records())
+        ]
         behind = nodes_behind(fleet.nodes, accepted[-1])
         watching.kill()
         setting = trial.setting(
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/exposure.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/exposure.py
@@ -1,7 +1,8 @@
 """How long a bad version got new work, by the engines' own records."""
 
-from amaranthlug_standins.counts import WITHDRAWAL_LIMIT_S, Counts
+from amaranthlug_standins.counts import Counts
 from amaranthlug_standins.fault_schedule import Stage, withdrawals
+from amaranthlug_standins.promise_checks import WITHDRAWAL_LIMIT_S
 from amaranthlug_standins.truth import EngineRun, Truth
 
 
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/log_outage.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/log_outage.py
@@ -7,11 +7,8 @@
 import gevent
 
 from amaranthlug_standins.builders import make_publication
-from amaranthlug_standins.config_watch import (
-    RevisionWatch,
-    accepted_offsets,
-    nodes_behind,
-)
+from amaranthlug_standins.config_timeline import accepted_revisions
+from amaranthlug_standins.config_watch import RevisionWatch, nodes_behind
 from amaranthlug_standins.counts import Counts
 from amaranthlug_standins.experiments.exposure import check_exposure
 from amaranthlug_standins.experiments.turns_bad import turn_bad
@@ -85,11 +82,11 @@
 def check(stage: Stage, truth: Truth, counts: Counts) -> None:
     """Requires service without the log and the new state after its return."""
     fleet = stage.fleet
-    accepted = accepted_offsets(fleet.records())
+    accepted = accepted_revisions(fleet.records())
     counts.require(
         len(accepted) == 2, f"{len(accepted) - 1} publications were accepted"
     )
-    counts.config_not_in_force = nodes_behind(fleet.nodes, accepted[-1])
+    counts.config_not_in_force = nodes_behind(fleet.nodes, accepted[-1].offset)
     stage.results["watching"].kill()
     counts.config_reverted = stage.results["watch"].reverted
     check_exposure(stage, truth, counts, stage.results["bad"])
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/retry_at_most_once.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/retry_at_most_once.py
@@ -45,7 +45,7 @@
             return super().run()
         way = WAYS[call.number % len(WAYS)]
         call.resent = True
-        second = msgspec.structs.replace(call)
+        second = msgspec.structs.replace(call, tries=[])
         self.repeats.append((way, call, second))
         other = Caller(self.clients, self.book, second, self.outgoing)
         if way == AT_ONCE:
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fault_schedule.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fault_schedule.py
@@ -126,6 +126,7 @@
     """Waits for the bills, counts and applies the check of the scenario."""
     trial = stage.trial
     truth = trial.settle()
+    trial.record(truth)
     setting = trial.setting(
         withdrawn_at=withdrawals(stage.fleet), bad_since=stage.bad_since
     )
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
@@ -26,6 +26,7 @@
         timings: Periods and limits of the nodes.
         pace: Time model of the engines.
         checks_fence: Whether the engine with an index checks fences.
+        faults: Traffic goes through a fault proxy (`Fleet.wires`).
     """
 
     seed: int = 1
@@ -36,17 +37,23 @@
     rating: RatingConfig = dataclasses.field(default_factory=RatingConfig)
     log: LogConfig = dataclasses.field(default_factory=LogConfig)
     checks_fence: Callable[[int], bool] = lambda index: index % 2 == 0
+    faults: bool = False
 
 
 @dataclasses.dataclass
 class Part:
-    """A running stand-in, in this process or in a child."""
+    """A running stand-in, in this process or in a child.
+
+    Attributes:
+        reached_at: Address that the configuration names for an upstream.
+    """
 
     name: str
     address: str
     control: str
     standin: StandIn | None = None
     child: Child | None = None
+    reached_at: str = ""
 
     def seen(self) -> dict[str, Any]:
         """Returns its ground truth."""
@@ -117,11 +124,7 @@
         if self.child is not None:
             self.child.kill()
         if self.node is not None:
-            parts = self.node.fleet
-            parts.timers.stop()
-            parts.follower.stop()
-            parts.writer.stop()
-            self.node.server.stop(timeout=0)
+            self.node.halt()
 
 
 def free_ports(count: int) -> list[int]:
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
@@ -10,6 +10,17 @@
 FAILED = "failed"
 
 
+class Try(msgspec.Struct, kw_only=True):
+    """One attempt of a call at a node."""
+
+    node: str
+    sent_at: float
+    ended_at: float
+    outcome: str
+    code: str = ""
+    not_run: bool = False
+
+
 class Call(msgspec.Struct, kw_only=True):
     """One request of a caller, with all its attempts.
 
@@ -28,7 +39,7 @@
         code: Refusal code, or the error of a failure.
         moved: Header `X-Session-Moved`.
         resent: Other sendings with the same key exist outside this record.
-        cut: Attempts that ended with neither an answer nor a refusal.
+        tries: Its attempts in order.
     """
 
     number: int
@@ -52,7 +63,6 @@
     total_s: float = 0.0
     attempts: int = 0
     resent: bool = False
-    cut: int = 0
     status: int = 0
     outcome: str = FAILED
     code: str = ""
@@ -65,6 +75,7 @@
     own: bool = False
     whole: bool = False
     good: bool = False
+    tries: list[Try] = []
 
 
 def write_history(path: pathlib.Path, calls: Iterable[Call]) -> None:
--- a/test/test_config_watch.py
+++ b/test/test_config_watch.py
@@ -4,11 +4,8 @@
 
 import gevent
 
-from amaranthlug_standins.config_watch import (
-    RevisionWatch,
-    accepted_offsets,
-    nodes_behind,
-)
+from amaranthlug_standins.config_timeline import accepted_revisions
+from amaranthlug_standins.config_watch import RevisionWatch, nodes_behind
 from amaranthlug_standins.counts import Counts
 
 
@@ -68,10 +65,11 @@
     """A watch with another rule would wait for a rejected publication."""
     bases = {0: -1, 1: 0, 2: 0, 3: 1}
     records = [
-        {"type": "publication", "offset": offset, "base": base}
+        {"type": "publication", "offset": offset, "base": base, "operator": ""}
         for offset, base in bases.items()
     ]
-    assert accepted_offsets(records) == [0, 1, 3]
+    found = [item.offset for item in accepted_revisions(records)]
+    assert found == [0, 1, 3]
 
 
 def test_a_missed_bound_of_a_scenario_fails_it():
