Leave out all servers that look bad before a version is withdrawn

Change: the rest that must speak against the version leaves out the servers that look bad, worst first, up to half; a test for cuts and ratings on three of nine servers, and one for a version that is bad on all of nine. Conclusion: the servers are ejected in the test and the version is kept.

--- a/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
@@ -31,8 +31,10 @@
 """Outcomes after which a test that speaks for the version restarts."""
 
 REST_IS_BAD = 2.5
-"""Log ratio of all servers but the worst above which the fault lies with the
-version: two bad ratings, as a single one also happens to a good version."""
+"""Log ratio of the better half of the servers above which the fault lies with
+the version: two bad ratings, as a single one also happens to a good version.
+Leaving out only one server withdrew all versions when three of nine servers
+cut their streams."""
 
 PROVEN_RATED = 30
 """Ratings after which a version outside a roll-out counts as proven."""
@@ -77,7 +79,7 @@
 
     Attributes:
         value: Log ratio over all servers that are not ejected.
-        rest: Log ratio without the server that looks worst.
+        rest: Log ratio without those servers, up to half, that look bad.
         alone: Only one server has run the version.
         limit: Average acceptable share of bad outcomes.
     """
@@ -303,17 +305,19 @@
         limit: float,
         failures: bool,
     ) -> Finding:
-        worst, worst_value = (0, 0), float("-inf")
+        rated: list[tuple[float, int, int]] = []
         for address, tally in servers.items():
             known = base.servers.get(address, Tally())
             good, bad = outcomes(tally, known, failures)
-            value = ratio(good, bad, limit)
             if address in base.ejected:
                 test.add(good, bad, limit, sign=-1)
-            elif value > worst_value:
-                worst, worst_value = (good, bad), value
+            else:
+                rated.append((ratio(good, bad, limit), good, bad))
         rest = RatioTest(list(test.logs))
-        rest.add(*worst, limit, sign=-1)
+        rated.sort(reverse=True)
+        for number, (value, good, bad) in enumerate(rated[: len(servers) // 2]):
+            if value > 0 or (number == 0 and bad):
+                rest.add(good, bad, limit, sign=-1)
         return Finding(test.value(), rest.value(), False, limit)
 
     def _restart(self, label: str, base: Baseline) -> None:
--- a/test/test_rollouts.py
+++ b/test/test_rollouts.py
@@ -295,6 +295,32 @@
     assert {found[0] for found in policy.ejected} == {"s1"}
 
 
+@pytest.mark.parametrize("bad", [{"bad": 1}, {"cut": 1}])
+def test_several_bad_servers_are_ejected_and_their_version_kept(bad):
+    """Three of nine servers that cut streams withdrew every version."""
+    policy = watched()
+    good = {"good": 1} if "bad" in bad else {"complete": 1}
+    for _ in range(30):
+        for number in range(1, 10):
+            amounts = bad if number <= 3 else good
+            cells = (Cell("mid@1", "log"), Cell("mid@1", server=f"n{number}"))
+            for cell in cells:
+                policy.evidence.count(cell, **amounts)
+        policy.watch.check()
+    assert not policy.view.withdrawn
+    assert {found[0] for found in policy.ejected} == {"n1", "n2", "n3"}
+
+
+def test_proven_version_that_turns_bad_on_many_servers_is_withdrawn():
+    """Leaving bad servers out must not hide a version that is bad on most."""
+    policy = watched()
+    servers_rated(
+        policy, "mid@1", {f"n{number}": (0, 3) for number in range(9)}
+    )
+    policy.watch.check()
+    assert policy.view.withdrawn == {OLD}
+
+
 def test_proven_version_that_turns_bad_is_withdrawn():
     """Old good ratings must not hide a version that has turned bad."""
     policy = watched()
