Do not count waiting at a full server against version or server

Change: a timeout without a token at a server whose work exceeds its slots is counted as unreached; ServerChooser tells whether a server queues; tests of both. Conclusion: hangs of servers with free slots still count.

--- a/packages/amaranthlug/src/amaranthlug/protocol/attempt.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/attempt.py
@@ -142,6 +142,16 @@
             return first
         return reason == "cut"
 
+    def waited_in_vain(self, reason: str) -> bool:
+        """Tells whether a timeout is due to the queue of a full server.
+
+        It speaks neither against the version nor against the server. When it
+        did, an overload withdrew all versions.
+        """
+        if reason != "timeout" or self.first_s:
+            return False
+        return self.servers.queueing(self.upstream.address)
+
     def reopen(self, call: EngineCall) -> Result[None, UpstreamError]:
         """Resumes the stream on a new connection to the same server."""
         self.drop()
--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -189,6 +189,9 @@
         if error.reason == "timeout":
             attempt.cancel()
         attempt.drop()
+        if attempt.waited_in_vain(error.reason):
+            attempt.end("unreached", "", failed=False)
+            return
         attempt.end(outcome_of(error), "", failed=True)
 
     def may_retry(self, step: StepRun, error: UpstreamError) -> bool:
--- a/packages/amaranthlug/src/amaranthlug/protocol/server_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/server_choice.py
@@ -320,6 +320,10 @@
         elif state.fail(now, self._may_eject(address), self._jitter()):
             self.metrics.incr("server.ejected")
 
+    def queueing(self, address: str) -> bool:
+        """Tells whether new work waits at a server because it is full."""
+        return self.state(address).occupancy(self.now()) > 1
+
     def _jitter(self) -> float:
         return self.random.uniform(1 - JITTER, 1 + JITTER)
 
--- a/test/_fakes.py
+++ b/test/_fakes.py
@@ -119,6 +119,7 @@
         self.catalog = catalog
         self.in_flight = {}
         self.reports = []
+        self.full = set()
 
     def pick(self, request, version, exclude):
         for upstream in self.catalog.now.pools["pool"].upstreams:
@@ -133,6 +134,9 @@
         self.in_flight[address] -= 1
         self.reports.append((address, failed))
 
+    def queueing(self, address):
+        return address in self.full
+
 
 class FakePins:
     """Pins in a dictionary."""
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -162,6 +162,20 @@
     bench.check_settled()
 
 
+@pytest.mark.parametrize(
+    ("full", "outcome"), [(True, "unreached"), (False, "error")]
+)
+def test_waiting_at_a_full_server_is_no_fault_of_the_version(full, outcome):
+    """An overload that withdrew all versions by its timeouts."""
+    bench = Bench(Script(error="timeout"))
+    upstreams = bench.catalog.now.pools["pool"].upstreams
+    bench.servers.full = {s.address for s in upstreams} if full else set()
+    assert bench.ask().is_ok()
+    assert bench.chooser.ended[0][1] == outcome
+    assert bench.servers.reports[0][1] == (not full)
+    bench.check_settled()
+
+
 def test_unreached_servers_give_a_true_not_run():
     """A refusal that says "not run" falsely, or is held back."""
     bench = Bench(*[Script(error="connect")] * 9)
--- a/test/test_server_choice.py
+++ b/test/test_server_choice.py
@@ -279,3 +279,15 @@
         address = servers.chooser.pick(request, MID, frozenset()).unwrap()
         servers.chooser.done(address.address, 0.1, False)
     assert (time.perf_counter() - start) / 500 < 1e-4
+
+
+def test_only_work_beyond_the_slots_waits():
+    """A timeout at a full server taken for a fault, or the reverse."""
+    servers = Servers()
+    servers.report((8, 9, 0, 0))
+    queueing = servers.chooser.queueing
+    assert [queueing(f"mid:{number}") for number in range(3)] == [
+        False,
+        True,
+        False,
+    ]
