Retry on a new connection when an idle one is silent

Cause: a request sent on idle connections that had gone silent at every server was refused with upstream_timeout, although new connections worked.

Conclusion: connections that all go silent at once no longer refuse a request.

--- a/benchmarks/real_node.py
+++ b/benchmarks/real_node.py
@@ -18,7 +18,7 @@
 )
 from amaranthlug_standins.deployments import Deployment
 from amaranthlug_standins.fleet import Fleet
-from amaranthlug_standins.fleet_parts import FleetOptions, RunningNode
+from amaranthlug_standins.fleet_parts import FleetOptions, Part, RunningNode
 
 VERSION = "brisa@1"
 ZONES = ("sala-a", "sala-b", "sala-c")
@@ -31,8 +31,9 @@
 class NodeProcess:
     """The node under load."""
 
-    def __init__(self, node: RunningNode):
+    def __init__(self, node: RunningNode, engines: list[Part]):
         """Finds its process."""
+        self.engines = engines
         self.address = node.address
         assert node.child is not None
         self.stats = psutil.Process(node.child.process.pid)
@@ -42,6 +43,11 @@
         times = self.stats.cpu_times()
         return times.user + times.system
 
+    def silence(self) -> None:
+        """Silences the connections that are open at the engines for good."""
+        for engine in self.engines:
+            engine.fault(silence_open=True)
+
     def memory_mb(self) -> float:
         """Returns resident memory in megabytes."""
         return self.stats.memory_info().rss / 1e6
@@ -81,5 +87,5 @@
     with Fleet(deployment(engines), options).start() as fleet:
         yield (
             [part.address for part in fleet.engines],
-            NodeProcess(fleet.nodes[0]),
+            NodeProcess(fleet.nodes[0], fleet.engines),
         )
--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -42,6 +42,7 @@
     Attributes:
         received: An upstream may have received the step.
         crashes: Attempts that ended in a lost connection.
+        fresh: Idle connections are not trusted any more.
     """
 
     request: RoutedRequest
@@ -50,6 +51,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     received: bool = False
     crashes: int = 0
+    fresh: bool = False
     attempts: int = 0
     last_error: UpstreamError | None = None
 
@@ -180,6 +182,7 @@
             between,
             step.meter.tokens if resume else None,
             request.organisation.name,
+            step.fresh,
         )
 
     def note_failure(
@@ -192,6 +195,11 @@
         if error.reason in CRASH_REASONS:
             step.crashes += 1
             self.suspects.crashed(poison_digest(step.request), error.address)
+        if error.reused:
+            # The connection may have gone silent or died while it was idle,
+            # and others with it. The server itself may be well.
+            step.fresh = True
+            step.tried.discard(error.address)
         if error.reason == "timeout":
             attempt.cancel()
         attempt.drop()
--- a/packages/amaranthlug/src/amaranthlug/protocol/upstream.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/upstream.py
@@ -18,6 +18,8 @@
         message: What happened.
         not_received: No byte of the request can have reached the upstream.
         retry_after_s: Wait asked for by the upstream.
+        reused: No byte came back on a connection that was idle before, so
+            that the connection may be what failed and not the upstream.
     """
 
     address: str
@@ -25,6 +27,7 @@
     message: str
     not_received: bool = False
     retry_after_s: float | None = None
+    reused: bool = False
 
 
 @dataclasses.dataclass
@@ -39,6 +42,7 @@
         resume_after: Tokens received of a stream that this engine still runs;
             `open` then resumes it instead of starting one.
         organisation: Name sent in the header `X-Organisation`.
+        fresh: Use no idle connection.
     """
 
     request_id: str
@@ -47,6 +51,7 @@
     between_s: float
     resume_after: int | None = None
     organisation: str = ""
+    fresh: bool = False
 
 
 class EngineStream(Protocol):
--- a/packages/amaranthlug/src/amaranthlug/transport/engine_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/engine_client.py
@@ -203,6 +203,8 @@
     ) -> Result[HttpEngineStream, UpstreamError]:
         """Starts a streamed answer and returns it after the first bytes."""
         limit = time.monotonic() + call.first_byte_s
+        if call.fresh:
+            self.pools.drop(address)
         target, body = target_of(call)
         sent = self.pools.send(
             address,
--- a/packages/amaranthlug/src/amaranthlug/transport/http_pool.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/http_pool.py
@@ -101,8 +101,25 @@
 class NoDelayPool(ConnectionPool):
     """A connection pool without Nagle's delay for small writes."""
 
+    def __init__(self, *arguments: Any, **options: Any):
+        """Creates a pool; arguments as of the library's."""
+        super().__init__(*arguments, **options)
+        self.connected: set[int] = set()
+
+    def take(self) -> tuple[Any, bool]:
+        """Returns a socket and whether it was idle before.
+
+        Raises:
+            OSError: The connection cannot be made.
+        """
+        sock = self.get_socket()
+        is_new = id(sock) in self.connected
+        self.connected.discard(id(sock))
+        return sock, not is_new
+
     def after_connect(self, sock: Any) -> None:
-        """Turns on TCP_NODELAY."""
+        """Turns on TCP_NODELAY and marks the socket as new."""
+        self.connected.add(id(sock))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def _is_socket_alive(self, sock: Any) -> bool:
@@ -126,7 +143,9 @@
     body: bytes
 
 
-def failure(address: str, error: Exception, sent: bool) -> UpstreamError:
+def failure(
+    address: str, error: Exception, sent: bool, reused: bool = False
+) -> UpstreamError:
     """Returns the typed error of an exception while talking to `address`."""
     if not sent:
         reason = "connect"
@@ -137,7 +156,9 @@
     else:
         reason = "malformed"
     text = f"{address}: {reason}: {error or type(error).__name__}"
-    return UpstreamError(address, reason, text, not_received=not sent)
+    return UpstreamError(
+        address, reason, text, not_received=not sent, reused=reused
+    )
 
 
 def retry_after(response: HTTPResponse) -> float | None:
@@ -218,7 +239,7 @@
         head = request_head(address, method, target, len(body), headers)
         pool = self.pool(address)
         try:
-            sock = pool.get_socket()
+            sock, reused = pool.take()
         except (OSError, RuntimeError) as error:
             return Err(failure(address, error, sent=False))
         sock.settimeout(max(timeout_s, 0.001))
@@ -226,7 +247,7 @@
             sock.sendall(head + body)
         except OSError as error:
             pool.release_socket(sock)
-            return Err(failure(address, error, sent=True))
+            return Err(failure(address, error, True, reused))
         except BaseException:
             pool.release_socket(sock)
             raise
@@ -236,7 +257,7 @@
             # The response has released its socket already.
             if isinstance(error, TimeoutError):
                 self.drop(address)
-            return Err(failure(address, error, sent=True))
+            return Err(failure(address, error, True, reused))
 
     def call(
         self,
--- a/test/_stub_engine.py
+++ b/test/_stub_engine.py
@@ -11,10 +11,11 @@
     """Counts accepted connections."""
 
     connections = 0
+    silent_up_to = 0
 
     def handle(self, sock, address):
         self.connections += 1
-        super().handle(sock, address)
+        super().handle(sock, (address[0], self.connections))
 
 
 class StubEngine:
@@ -43,6 +44,10 @@
     def stop(self):
         self.server.stop(timeout=0)
 
+    def silence(self):
+        """Connections that are open now answer nothing any more."""
+        self.server.silent_up_to = self.server.connections
+
     @property
     def connections(self):
         return self.server.connections
@@ -53,6 +58,8 @@
 
     def app(self, environ, start_response):
         raw = environ["wsgi.input"].read()
+        if int(environ["REMOTE_PORT"]) <= self.server.silent_up_to:
+            gevent.sleep(5)
         path = environ["PATH_INFO"]
         if environ["REQUEST_METHOD"] == "DELETE":
             self.deleted.append(path)
--- a/test/test_server.py
+++ b/test/test_server.py
@@ -139,6 +139,18 @@
     node.bench.check_settled()
 
 
+@pytest.mark.parametrize("stream", [True, False])
+def test_silent_idle_connections_do_not_refuse(node, stream):
+    """A refusal although every server works on a new connection."""
+    node.bench.pace.observe(next(iter(node.bench.catalog.now.versions)), 0, 0)
+    for stub in node.stubs:
+        node.bench.engine.cancel(stub.address, "none")
+        stub.silence()
+    status, _, _ = ask(node, stream=stream)
+    assert status == 200
+    node.bench.check_settled()
+
+
 @pytest.mark.parametrize("stream", [True, False])
 def test_caller_that_leaves_before_the_first_token(node, stream):
     """An engine that works on for a caller who was never seen to leave."""
