Log refusals, retries, lost leases and shutdown phases

Cause: an on-call person saw refusals and retries in counters only, and the error line of a request quoted its exception, which may hold a prompt.

Figures: test_logs.py plants callers' keys, a peer key and prompts, with an engine that echoes the request and an exception that quotes it; none appears in logs or on standard error. The test fails when the exception text is logged.

Conclusion: the lines are there and hold no text of callers or engines.

--- a/packages/amaranthlug/src/amaranthlug/node.py
+++ b/packages/amaranthlug/src/amaranthlug/node.py
@@ -102,17 +102,30 @@
         if self.leaving:
             return
         self.leaving = True
-        log.info("node %s is leaving", self.fleet.me.incarnation)
+        self.note_shutdown("announce")
         self.fleet.members.announce_leaving()
         self.fleet.exchange.tick()
         gevent.sleep(self.settings.timings.entry_ttl_s)
+        self.note_shutdown("hand_over_slots")
         self.hand_over_slots()
+        self.note_shutdown("finish_requests", running=self.server.running)
         with gevent.Timeout(self.settings.timings.drain_s, False):
             self.server.drain()
+        waiting = len(self.fleet.biller.ended)
+        self.note_shutdown("append_bills", bills=waiting)
         self.fleet.biller.flush(FLUSH_LIMIT_S)
         self.leave()
         self.halt()
-        log.info("node %s has left", self.fleet.me.incarnation)
+        self.note_shutdown("left", running=self.server.running)
+
+    def note_shutdown(self, phase: str, **fields: int) -> None:
+        """Logs the beginning of a phase of the shutdown."""
+        log.info(
+            "node %s is leaving: %s",
+            self.fleet.me.incarnation,
+            phase,
+            extra={"event": "shutdown", "phase": phase, **fields},
+        )
 
     def halt(self) -> None:
         """Ends all work at once, as the loss of the process does."""
--- a/packages/amaranthlug/src/amaranthlug/parts_fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/parts_fleet.py
@@ -6,6 +6,7 @@
 from amaranthlug.coordination.billing import LogBiller
 from amaranthlug.coordination.config_view import ConfigView
 from amaranthlug.coordination.exchange import Exchange
+from amaranthlug.coordination.lease_events import LeaseEvents
 from amaranthlug.coordination.limits import SharedLimits
 from amaranthlug.coordination.log_follower import LogFollower
 from amaranthlug.coordination.log_writer import LogWriter
@@ -20,6 +21,7 @@
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.coordination.vm_watch import VmWatch
 from amaranthlug.state.catalog import VersionId
+from amaranthlug.state.leases import ALL_SLOTS
 from amaranthlug.state.members import Member
 from amaranthlug.state.settings import NodeSettings
 from amaranthlug.transport.peer_auth import PeerKeys, PeerReceiver
@@ -49,6 +51,7 @@
     config: ConfigView
     snapshots: SnapshotWriter
     slots: SlotKeeper
+    lease_events: LeaseEvents
     claims: SlotClaims
     pins: SlotSessionPins
     runs: SlotRunRegister
@@ -169,6 +172,7 @@
             config=config,
             snapshots=snapshots,
             slots=slots,
+            lease_events=LeaseEvents(slots, ALL_SLOTS, timers, metrics),
             claims=claims,
             pins=pins,
             runs=runs,
@@ -188,6 +192,7 @@
             self.config,
             self.snapshots,
             self.slots,
+            self.lease_events,
             self.claims,
             self.pins,
             self.runs,
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/events.py
@@ -0,0 +1,34 @@
+"""Counters and log lines of refusals and retries.
+
+Lines carry codes, reasons and addresses only: a message may quote the caller
+or an engine that echoes a prompt. The handler limits repeats of a line.
+"""
+
+import logging
+
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.state.refusal import Refusal
+
+log = logging.getLogger(__name__)
+
+
+def note_refusal(metrics: Metrics, refusal: Refusal) -> None:
+    """Counts and logs a refused request."""
+    metrics.incr(f"refused.{refusal.code}")
+    log.warning(
+        "request refused",
+        extra={
+            "event": "refused",
+            "subject": str(refusal.code),
+            "not_run": refusal.not_run,
+        },
+    )
+
+
+def note_retry(metrics: Metrics, reason: str, address: str) -> None:
+    """Counts and logs a retry after a failure at an upstream."""
+    metrics.incr(f"retried.{reason}")
+    log.warning(
+        "request is sent again",
+        extra={"event": "retried", "subject": reason, "upstream": address},
+    )
--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -11,6 +11,7 @@
 from amaranthlug.protocol.attempt import Attempt
 from amaranthlug.protocol.callers import CallerLeftError
 from amaranthlug.protocol.chat import output_limit
+from amaranthlug.protocol.events import note_retry
 from amaranthlug.protocol.pace import Pace
 from amaranthlug.protocol.poison import Suspects, poison_digest
 from amaranthlug.protocol.relay import AnswerMeter
@@ -100,8 +101,8 @@
             attempt = self.start(step, picked.ok_value)
             try:
                 opened = attempt.open(self.call(step))
-            except BaseException as error:
-                if isinstance(error, CallerLeftError):
+            except BaseException as raised:
+                if isinstance(raised, CallerLeftError):
                     # The request may be on its way already.
                     step.received = True
                     attempt.cancel()
@@ -114,7 +115,8 @@
             self.note_failure(step, attempt, opened.err_value)
             if not self.may_retry(step, opened.err_value):
                 return Err(self.failure(step))
-            self.metrics.incr(f"retried.{opened.err_value.reason}")
+            error = opened.err_value
+            note_retry(self.metrics, error.reason, error.address)
             gevent.sleep(self.budget.wait_s(step.attempts))
 
     def may_send(self, step: StepRun) -> Result[None, Refusal]:
@@ -223,12 +225,12 @@
         if attempt.may_reopen(error.reason):
             reopened = attempt.reopen(self.call(step, resume=True))
             if isinstance(reopened, Ok):
-                self.metrics.incr("retried.resume")
+                note_retry(self.metrics, "resume", error.address)
                 return Ok(attempt)
         self.note_failure(step, attempt, error)
         if not self.may_retry(step, error):
             return Err(self.failure(step))
-        self.metrics.incr(f"retried.{error.reason}")
+        note_retry(self.metrics, error.reason, error.address)
         return self.open(step)
 
     def failure(self, step: StepRun) -> Refusal:
--- a/packages/amaranthlug/src/amaranthlug/protocol/service_calls.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/service_calls.py
@@ -18,6 +18,7 @@
     check_headers,
     request_id_of,
 )
+from amaranthlug.protocol.events import note_refusal, note_retry
 from amaranthlug.protocol.retry_budget import RetryBudget
 from amaranthlug.protocol.services import (
     CatalogView,
@@ -155,7 +156,7 @@
     ) -> Result[ServiceAnswer, Refusal]:
         """Counts a refusal."""
         if isinstance(answered, Err):
-            self.metrics.incr(f"refused.{answered.err_value.code}")
+            note_refusal(self.metrics, answered.err_value)
         return answered
 
     def admitted(
@@ -241,7 +242,7 @@
             ran = ran or not last.not_received
             if ran and not call.route.repeatable:
                 break
-            self.metrics.incr(f"retried.{last.reason}")
+            note_retry(self.metrics, last.reason, last.address)
             gevent.sleep(self.budget.wait_s(len(tried)))
         return Err(call_failure(call.service, last, ran)), ran
 
--- a/packages/amaranthlug/src/amaranthlug/transport/app.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/app.py
@@ -3,6 +3,7 @@
 import dataclasses
 import logging
 import socket
+import traceback
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -13,6 +14,7 @@
 from amaranthlug.protocol.callers import CallerLeftError
 from amaranthlug.protocol.chat import CallerHeaders, too_large
 from amaranthlug.protocol.dispatch import Dispatcher, WholeAnswer
+from amaranthlug.protocol.events import note_refusal
 from amaranthlug.protocol.service_calls import ServiceCalls
 from amaranthlug.protocol.services import EntryView
 from amaranthlug.state.refusal import Refusal
@@ -128,7 +130,7 @@
         raw = read_body(req, self.body_bytes)
         if raw is None:
             refusal = too_large(self.body_bytes)
-            self.dispatcher.metrics.incr(f"refused.{refusal.code}")
+            note_refusal(self.dispatcher.metrics, refusal)
             # What is left of the body would be read as the next request.
             resp.set_header("Connection", "close")
             send_refusal(resp, refusal)
@@ -241,8 +243,21 @@
     error: Exception,
     params: dict[str, Any],
 ) -> None:
-    """Logs an unexpected exception and answers 500."""
-    log.error("%s %s failed", req.method, req.path, exc_info=error)
+    """Logs an unexpected exception and answers 500.
+
+    The text of an exception may quote a prompt, so only its type and the place
+    in the code are logged.
+    """
+    frames = traceback.extract_tb(error.__traceback__)
+    log.error(
+        "request failed by a fault of the router",
+        extra={
+            "event": "internal_error",
+            "method": req.method,
+            "error": type(error).__name__,
+            "stack": [f"{f.name}:{f.lineno}" for f in frames],
+        },
+    )
     send_json(resp, {"error": {"code": "internal", "not_run": False}}, 500)
 
 
--- a/test/_stub_engine.py
+++ b/test/_stub_engine.py
@@ -24,7 +24,8 @@
     Attributes:
         faults: For each next stream `cut` (closes after 3 tokens), `silent`
             (sends nothing more after 3 tokens), `mute` (no first byte),
-            `unfinished` (ends the body without the end marker), `busy` (503).
+            `unfinished` (ends the body without the end marker), `busy` (503),
+            `echo` (500 with the request as its body).
         words: Tokens of an answer.
     """
 
@@ -76,6 +77,9 @@
         if fault == "busy":
             start_response("503 Busy", [("Retry-After", "2")])
             return [b"{}"]
+        if fault == "echo":
+            start_response("500 Error", [])
+            return [raw]
         if fault == "mute":
             gevent.sleep(5)
         start_response("200 OK", [("Content-Type", "text/event-stream")])
