--- /dev/null
+++ b/test/_fakes_engine.py
@@ -0,0 +1,95 @@
+"""Fake engine that follows scripts, and the events of its streams."""
+
+import dataclasses
+import json
+
+import gevent
+from _fakes_catalog import WORDS
+from result import Err, Ok
+
+from amaranthlug.protocol.upstream import StreamCutError, UpstreamError
+
+
+def token_event(text, **extra):
+    """Returns the event of one token."""
+    chunk = {"choices": [{"index": 0, "delta": {"content": text}}], **extra}
+    return f"data: {json.dumps(chunk)}\n\n".encode()
+
+
+def end_events(tokens):
+    """Returns the usage chunk and the end marker."""
+    usage = {"prompt_tokens": 5, "completion_tokens": tokens}
+    chunk = {
+        "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+        "usage": usage,
+    }
+    return f"data: {json.dumps(chunk)}\n\ndata: [DONE]\n\n".encode()
+
+
+@dataclasses.dataclass
+class Script:
+    """What one call to the fake engine does.
+
+    Attributes:
+        error: Reason of a failure before the first byte.
+        cut_at: Token before which the stream is cut, None for never.
+        reason: Reason of the cut.
+    """
+
+    error: str = ""
+    cut_at: int | None = None
+    reason: str = "cut"
+    empty: bool = False
+    pause_s: float = 0.0
+
+
+class FakeStream:
+    """A stream that follows a script."""
+
+    def __init__(self, address, script, start):
+        self.address = address
+        self.script = script
+        self.start = start
+        self.closed = False
+
+    def blocks(self):
+        yield b'data: {"choices":[{"delta":{"role":"assistant"}}]}\n\n'
+        words = [] if self.script.empty else WORDS
+        for number in range(self.start, len(words)):
+            if number == self.script.cut_at:
+                reason = self.script.reason
+                raise StreamCutError(
+                    UpstreamError(self.address, reason, "scripted")
+                )
+            gevent.sleep(self.script.pause_s)
+            yield token_event(words[number] + " ")
+        yield end_events(len(words))
+
+    def close(self):
+        self.closed = True
+
+
+class FakeEngine:
+    """Engines that follow one script after another, then work well."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.calls = []
+        self.cancelled = []
+        self.streams = []
+        self.dead = set()
+
+    def open(self, address, call):
+        self.calls.append((address, call))
+        if call.resume_after is not None and address in self.dead:
+            return Err(UpstreamError(address, "connect", "dead", True))
+        script = self.scripts.pop(0) if self.scripts else Script()
+        if script.error:
+            sent = script.error != "connect"
+            return Err(UpstreamError(address, script.error, "x", not sent))
+        start = call.resume_after or call.body.get("continue_tokens", 0)
+        self.streams.append(FakeStream(address, script, start))
+        return Ok(self.streams[-1])
+
+    def cancel(self, address, request_id):
+        self.cancelled.append((address, request_id))
