--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -11,6 +11,7 @@
 from amaranthlug.protocol.attempt import Attempt
 from amaranthlug.protocol.callers import CallerLeftError
 from amaranthlug.protocol.chat import output_limit
+from amaranthlug.protocol.events import note_retry
 from amaranthlug.protocol.pace import Pace
 from amaranthlug.protocol.poison import Suspects, poison_digest
 from amaranthlug.protocol.relay import AnswerMeter
@@ -42,6 +43,7 @@
     Attributes:
         received: An upstream may have received the step.
         crashes: Attempts that ended in a lost connection.
+        fresh: Idle connections are not trusted any more.
     """
 
     request: RoutedRequest
@@ -50,6 +52,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     received: bool = False
     crashes: int = 0
+    fresh: bool = False
     attempts: int = 0
     last_error: UpstreamError | None = None
 
@@ -98,8 +101,8 @@
             attempt = self.start(step, picked.ok_value)
             try:
                 opened = attempt.open(self.call(step))
-            except BaseException as error:
-                if isinstance(error, CallerLeftError):
+            except BaseException as raised:
+                if isinstance(raised, CallerLeftError):
                     # The request may be on its way already.
                     step.received = True
                     attempt.cancel()
@@ -112,7 +115,8 @@
             self.note_failure(step, attempt, opened.err_value)
             if not self.may_retry(step, opened.err_value):
                 return Err(self.failure(step))
-            self.metrics.incr(f"retried.{opened.err_value.reason}")
+            error = opened.err_value
+            note_retry(self.metrics, error.reason, error.address)
             gevent.sleep(self.budget.wait_s(step.attempts))
 
     def may_send(self, step: StepRun) -> Result[None, Refusal]:
@@ -180,6 +184,7 @@
             between,
             step.meter.tokens if resume else None,
             request.organisation.name,
+            step.fresh,
         )
 
     def note_failure(
@@ -192,6 +197,11 @@
         if error.reason in CRASH_REASONS:
             step.crashes += 1
             self.suspects.crashed(poison_digest(step.request), error.address)
+        if error.reused:
+            # The connection may have gone silent or died while it was idle,
+            # and others with it. The server itself may be well.
+            step.fresh = True
+            step.tried.discard(error.address)
         if error.reason == "timeout":
             attempt.cancel()
         attempt.drop()
@@ -218,12 +228,12 @@
         if attempt.may_reopen(error.reason):
             reopened = attempt.reopen(self.call(step, resume=True))
             if isinstance(reopened, Ok):
-                self.metrics.incr("retried.resume")
+                note_retry(self.metrics, "resume", error.address)
                 return Ok(attempt)
         self.note_failure(step, attempt, error)
         if not self.may_retry(step, error):
             return Err(self.failure(step))
-        self.metrics.incr(f"retried.{error.reason}")
+        note_retry(self.metrics, error.reason, error.address)
         return self.open(step)
 
     def failure(self, step: StepRun) -> Refusal:
