Bound the bytes of the exchange and count replication apart

Cause: with limits and evidence the exchange of 8 nodes sent 21 KB/s a node without HTTP heads; the budget is 3 KB/s. Copies of keys, pins and bills, which grow with a node's requests, were counted as control.

Change: limits and evidence share the bytes that members, log and withdrawals leave in a message; demand is in one of four messages. Counters have the HTTP heads, and per-request copies are counted as replication.*.

--- a/benchmarks/fleet_cost.py
+++ b/benchmarks/fleet_cost.py
@@ -73,6 +73,8 @@
         "slots_min": min(slots),
         "slots_max": max(slots),
         "slots_held": sum(slots),
+        "peak_mb": max(r["peak_mb"] for r in reports),
+        "evidence_rows_min": min(r["evidence_rows"] for r in reports),
     }
 
 
--- a/benchmarks/fleet_node.py
+++ b/benchmarks/fleet_node.py
@@ -1,10 +1,15 @@
 """One small node of `fleet_cost.py`: all coordination, no request path.
 
+The sections have the content of 41 requests/s: 10 organisations with demand, 14
+versions and 5 kinds in the evidence, one withdrawal that is not on the log.
+
 Arguments: zone, log URL, seed addresses. It prints its address, then a line of
 counters for each line on standard input, and ends with standard input.
 """
 
 import json
+import random
+import resource
 import socket
 import sys
 import threading
@@ -15,7 +20,9 @@
 
 from amaranthlug.coordination.bill_copies import BillCopies
 from amaranthlug.coordination.billing import LogBiller
+from amaranthlug.coordination.evidence_pool import EvidencePool
 from amaranthlug.coordination.exchange import Exchange
+from amaranthlug.coordination.limits import SharedLimits
 from amaranthlug.coordination.log_follower import LogFollower
 from amaranthlug.coordination.log_writer import LogWriter
 from amaranthlug.coordination.membership import Membership
@@ -27,6 +34,8 @@
 from amaranthlug.coordination.slots import SlotKeeper
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.coordination.vm_watch import VmWatch
+from amaranthlug.state.catalog import Limits, Organisation
+from amaranthlug.state.evidence import Cell, Evidence
 from amaranthlug.state.members import Member
 from amaranthlug.state.records import NodeJoined
 from amaranthlug.state.settings import Timings
@@ -36,6 +45,54 @@
 from amaranthlug.transport.server import NodeServer
 from amaranthlug.transport.statsd_metrics import StatsdMetrics
 
+REQUESTS_PER_S = 41
+ORGANISATIONS = [
+    Organisation(f"organisation-{i}", frozenset(), frozenset(), Limits(900.0))
+    for i in range(10)
+]
+CELLS = [
+    Cell(f"model-{version % 7}@{version}", f"request-kind-{kind}", hard)
+    for version in range(14)
+    for kind in range(5)
+    for hard in (False, True)
+]
+
+
+class Withdrawn:
+    """Section with one withdrawal that waits for the log."""
+
+    name = "withdrawals"
+
+    def outgoing(self):
+        """Returns the withdrawal."""
+        return {"model-3@3": {"epoch": 0, "reason": "quality"}}
+
+    def incoming(self, sender, section):
+        """Ignores what this node knows."""
+
+
+class Demand:
+    """Feeds limits and evidence as requests do."""
+
+    def __init__(self, limits, pool):
+        """Takes the parts to feed."""
+        self.limits = limits
+        self.pool = pool
+
+    def tick(self):
+        """Counts the requests of one second."""
+        for _ in range(REQUESTS_PER_S):
+            organisation = random.choice(ORGANISATIONS)
+            if self.limits.admit(organisation, 400).is_ok():
+                self.limits.done(organisation, 450, 12)
+            # Traffic goes to few versions: the cheapest that meet targets.
+            cell = CELLS[int(len(CELLS) * random.random() ** 3)]
+            bad = random.random() < 0.05
+            self.pool.evidence.count(
+                cell, started=1, complete=1, good=int(not bad), bad=int(bad)
+            )
+            self.pool.changed(cell, urgent=bad)
+
 
 class BenchNode:
     """The coordination of one node over real sockets."""
@@ -47,7 +104,9 @@
         self.server = NodeServer("127.0.0.1:0", self.app)
         self.server.start()
         address = f"127.0.0.1:{self.server.server_port}"
-        self.me = me = Member(address, zone, uuid.uuid4().hex[:8])
+        self.me = me = Member(
+            address, zone, f"tw-north-{uuid.uuid4().hex[:12]}"
+        )
         handlers = PeerHandlers()
         self.receiver = PeerReceiver(keys, handlers, me, self.metrics)
         link = HttpPeerLink(keys, me, self.metrics)
@@ -65,6 +124,13 @@
         exchange = Exchange(link, members, handlers, timers)
         exchange.register(members)
         exchange.register(feed)
+        exchange.register(Withdrawn())
+        limits = SharedLimits(members, timers, self.metrics)
+        pool = EvidencePool(Evidence(me.incarnation), members)
+        exchange.register(limits)
+        exchange.register(pool)
+        self.pool = pool
+        timers.every("demand", 1.0, Demand(limits, pool).tick)
         self.slots = SlotKeeper(
             members, link, handlers, feed, timers, self.metrics, timings
         )
@@ -111,6 +177,9 @@
             "live": len(self.members.live()),
             "members": len(self.members.members()),
             "slots": len(held),
+            "peak_mb": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+            // 1024,
+            "evidence_rows": sum(map(len, self.pool.evidence.rows.values())),
         }
 
 
--- a/packages/amaranthlug/src/amaranthlug/coordination/evidence_pool.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/evidence_pool.py
@@ -4,12 +4,20 @@
 from collections import OrderedDict
 from typing import Any
 
+import msgspec
+
 from amaranthlug.coordination.peers import MemberView
 from amaranthlug.state.evidence import Cell, Evidence
 
 MAX_ROWS = 40
 """Rows in one message; about 70 bytes each, so 2.8 KB at the most."""
 
+MAX_BYTES = 2_800
+"""Bytes of a section when the exchange sets no limit."""
+
+SWEEP_SHARE = 0.25
+"""Part of the bytes kept for rows that repeat old ones."""
+
 MAX_WAITING = 4_000
 """Rows that wait to be sent; beyond it the oldest wait for the next sweep."""
 
@@ -23,6 +31,11 @@
 RowKey = tuple[str, Cell]
 
 
+def row_bytes(row: list[Any] | None) -> int:
+    """Returns the bytes of a row as JSON."""
+    return len(msgspec.json.encode(row)) + 1 if row else 0
+
+
 class EvidencePool:
     """Section `evidence` of the exchange.
 
@@ -57,18 +70,35 @@
 
     def outgoing(self) -> dict[str, Any]:
         """Returns up to `MAX_ROWS` rows, urgent ones first."""
-        keys: list[RowKey] = []
+        return self.outgoing_within(MAX_BYTES)
+
+    def outgoing_within(self, limit_bytes: int) -> dict[str, Any]:
+        """Returns the rows that fit, urgent ones first."""
+        rows: dict[RowKey, list[Any]] = {}
+        left = limit_bytes * (1 - SWEEP_SHARE)
         for queue in (self.urgent, self.waiting):
-            for key in list(queue)[: MAX_ROWS - SWEEP_ROWS - len(keys)]:
-                keys.append(key)
-                left = queue.pop(key) - 1
-                if left:
-                    queue[key] = left
-        keys += self._next_of_sweep()
-        rows = [row for row in map(self._row, dict.fromkeys(keys)) if row]
-        return {"rows": rows} if rows else {}
-
-    def _next_of_sweep(self) -> list[RowKey]:
+            for key in list(queue)[: MAX_ROWS - SWEEP_ROWS - len(rows)]:
+                row = self._row(key)
+                left -= row_bytes(row)
+                if left < 0:
+                    break
+                if row:
+                    rows[key] = row
+                again = queue.pop(key) - 1
+                if again:
+                    queue[key] = again
+        left = max(0.0, left) + limit_bytes * SWEEP_SHARE
+        for key in reversed(self._sweep_rows()):
+            row = self._row(key)
+            left -= row_bytes(row)
+            if left < 0:
+                break
+            self.sweep.pop()
+            if row:
+                rows[key] = row
+        return {"rows": list(rows.values())} if rows else {}
+
+    def _sweep_rows(self) -> list[RowKey]:
         if not self.sweep:
             self.evidence.fold(m.incarnation for m in self.members.members())
             self.sweep = [
@@ -76,9 +106,7 @@
                 for incarnation, cells in self.evidence.rows.items()
                 for cell in cells
             ]
-        keys = self.sweep[-SWEEP_ROWS:]
-        del self.sweep[-SWEEP_ROWS:]
-        return keys
+        return self.sweep[-SWEEP_ROWS:]
 
     def _row(self, key: RowKey) -> list[Any] | None:
         incarnation, cell = key
--- a/packages/amaranthlug/src/amaranthlug/coordination/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/exchange.py
@@ -4,18 +4,28 @@
 from typing import Any, Protocol
 
 import gevent
+import msgspec
 from result import Ok
 
 from amaranthlug.coordination.peers import (
     ExchangeSection,
     PeerHandlers,
     PeerLink,
+    SizedSection,
 )
 from amaranthlug.coordination.timers import TimerService
 
 PEERS_PER_PERIOD = 2
 """Peers asked each period; constant, so that cost does not grow with nodes."""
 
+MESSAGE_BYTES = 850
+"""Bytes of all sections of a message as JSON, before compression. A node sends
+about four such messages a second within 3 KB/s."""
+
+FIRST_SHARE = 0.7
+"""Part of the bytes left that the first of the sized sections may take; they
+take turns at being first."""
+
 TIMEOUT_S = 1.0
 """Limit of one exchange, in seconds."""
 
@@ -51,6 +61,7 @@
         self.timers = timers
         self.period_s = period_s
         self.sections: dict[str, ExchangeSection] = {}
+        self.turn = 0
         handlers.register("exchange", self.on_exchange)
 
     def register(self, section: ExchangeSection) -> None:
@@ -89,12 +100,26 @@
         return {"sections": self.outgoing()}
 
     def outgoing(self) -> dict[str, Any]:
-        """Collects the sections that have something to send."""
-        found = {}
-        for name, section in self.sections.items():
-            content = section.outgoing()
-            if content:
-                found[name] = content
+        """Collects the sections that have something to send.
+
+        Sections without rows (members, log, withdrawals) go whole; the others
+        share the bytes that are left.
+        """
+        found: dict[str, Any] = {}
+        sized: list[SizedSection] = []
+        for section in self.sections.values():
+            if isinstance(section, SizedSection):
+                sized.append(section)
+            elif content := section.outgoing():
+                found[section.name] = content
+        self.turn += 1
+        for index in range(len(sized)):
+            section = sized[(index + self.turn) % len(sized)]
+            left = MESSAGE_BYTES - len(msgspec.json.encode(found))
+            if index + 1 < len(sized):
+                left = int(left * FIRST_SHARE)
+            if content := section.outgoing_within(max(0, left)):
+                found[section.name] = content
         return found
 
     def incoming(self, sender: str, sections: dict[str, Any]) -> None:
--- a/packages/amaranthlug/src/amaranthlug/coordination/limits.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/limits.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 import random
+import sys
 import time
 from collections.abc import Callable
 from typing import Any
@@ -37,6 +38,12 @@
     rate_share,
 )
 
+MESSAGES_APART = 4
+"""Messages of which one has demand: about one a second."""
+
+SPENT_EVERY = 8
+"""Sections of which one has the day's costs; nodes have them by the log."""
+
 ROWS_PER_MESSAGE = 2
 """Rows of other nodes in one exchange message, chosen at random, so that its
 size does not grow with the number of nodes. At 8 nodes a node receives about
@@ -119,6 +126,7 @@
         self.organisations: dict[str, Organisation] = {}
         self.table = RowTable()
         self.seq = 0
+        self.skipped = 0
         self.day = self.today()
         self.spent: dict[str, int] = {}
         self.active = 0
@@ -323,26 +331,48 @@
 
     def outgoing(self) -> dict[str, Any]:
         """Returns this node's row and some of the others'."""
+        self.skipped = MESSAGES_APART
+        return self.outgoing_within(sys.maxsize)
+
+    def outgoing_within(self, limit_bytes: int) -> dict[str, Any]:
+        """Returns this node's row and those of others that fit.
+
+        A row replaces the one before, so this node's is never cut. It waits
+        for a message with room, but not for long.
+        """
         self.turn_day()
-        now = self.timers.now()
+        self.skipped += 1
+        own = self.own_row()
+        too_long = len(msgspec.json.encode(own)) > limit_bytes
+        if self.skipped < MESSAGES_APART + 2 * too_long:
+            return {}
+        self.skipped = 0
         self.seq += 1
+        own.seq = self.seq
+        rows = {self.members.me.incarnation: own}
+        spent = self.spent if self.seq % SPENT_EVERY == 0 else {}
+        section = LimitSection(rows, self.day, spent)
+        left = limit_bytes - len(msgspec.json.encode(section))
+        known = sorted(self.table.rows)
+        for name in self.random.sample(
+            known, min(ROWS_PER_MESSAGE, len(known))
+        ):
+            row = self.table.rows[name].row
+            left -= len(name) + len(msgspec.json.encode(row)) + 4
+            if left < 0:
+                break
+            rows[name] = row
+        built: dict[str, Any] = msgspec.to_builtins(section)
+        return built
+
+    def own_row(self) -> Row:
+        """Returns this node's demand of all organisations in use."""
+        now = self.timers.now()
         demands = {
             name: self.demand(state, now) for name, state in self.states.items()
         }
-        demands = {
-            name: use for name, use in demands.items() if use != Demand()
-        }
-        rows = {
-            name: self.table.rows[name].row
-            for name in self.random.sample(
-                sorted(self.table.rows),
-                min(ROWS_PER_MESSAGE, len(self.table.rows)),
-            )
-        }
-        rows[self.members.me.incarnation] = Row(self.seq, self.day, demands)
-        section = LimitSection(rows, self.day, self.spent)
-        built: dict[str, Any] = msgspec.to_builtins(section)
-        return built
+        used = {name: use for name, use in demands.items() if use != Demand()}
+        return Row(self.seq, self.day, used)
 
     def incoming(self, sender: str, section: dict[str, Any]) -> None:
         """Merges rows and costs of a peer, then computes the shares."""
--- a/packages/amaranthlug/src/amaranthlug/coordination/peers.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/peers.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any, Protocol, runtime_checkable
 
 from result import Result
 
@@ -94,6 +94,15 @@
         ...
 
 
+@runtime_checkable
+class SizedSection(ExchangeSection, Protocol):
+    """A section whose rows share the bytes of a message with others."""
+
+    def outgoing_within(self, limit_bytes: int) -> dict[str, Any]:
+        """Returns a section of about that many bytes as JSON at the most."""
+        ...
+
+
 class MemberView(Protocol):
     """Members as this node knows them."""
 
--- a/packages/amaranthlug/src/amaranthlug/transport/peer_auth.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/peer_auth.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import hmac
-import json
 import logging
 import time
 from collections.abc import Callable
@@ -16,6 +15,14 @@
 )
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.state.members import Member
+from amaranthlug.transport.peer_wire import (
+    REPLY_HEAD_BYTES,
+    REQUEST_HEAD_BYTES,
+    count_bytes,
+    count_message,
+    decode_message,
+    encode_message,
+)
 
 HEADER = "X-Peer-Auth"
 SKEW_S = 60.0
@@ -94,10 +101,11 @@
         self.me = me
         self.metrics = metrics
 
-    def verify(self, header: str, body: bytes) -> bool:
+    def verify(self, name: str, header: str, body: bytes) -> bool:
         """Tells whether the header `X-Peer-Auth` belongs to the body."""
-        self.metrics.incr("control.messages_received")
-        self.metrics.incr("control.bytes_received", len(body) + len(header))
+        received = REQUEST_HEAD_BYTES + len(body) + len(header)
+        count_message(self.metrics, name, "received")
+        count_bytes(self.metrics, name, "received", received)
         verified = self.keys.verify(header, body)
         if isinstance(verified, Err):
             self.metrics.incr("peer.unauthenticated")
@@ -106,13 +114,14 @@
         return True
 
     def receive(self, name: str, header: str, body: bytes) -> tuple[int, bytes]:
-        """Returns the HTTP status and JSON body of the reply."""
-        if self.verify(header, body):
+        """Returns the HTTP status and wire form of the reply."""
+        if self.verify(name, header, body):
             status, reply = self.answer(name, header, body)
         else:
             status, reply = 401, {"error": "not_authenticated"}
-        data = json.dumps(reply, separators=(",", ":")).encode()
-        self.metrics.incr("control.bytes_sent", len(data))
+        data = encode_message(reply)
+        sent = REPLY_HEAD_BYTES + len(data)
+        count_bytes(self.metrics, name, "sent", sent)
         return status, data
 
     def answer(
@@ -120,11 +129,9 @@
     ) -> tuple[int, dict[str, object]]:
         """Handles an authentic message."""
         try:
-            message = json.loads(body)
+            message = decode_message(body)
         except ValueError:
             return 400, {"error": "malformed_message"}
-        if not isinstance(message, dict):
-            return 400, {"error": "malformed_message"}
         if name not in self.handlers.handlers:
             return 404, {"error": "unknown_message"}
         if f":{message.get('sender')}:" not in header:
--- a/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/peer_client.py
@@ -1,6 +1,5 @@
 """Messages to peers over HTTP with long-lived pooled connections."""
 
-import json
 from collections import OrderedDict
 from collections.abc import Mapping
 from typing import Any
@@ -15,6 +14,14 @@
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.state.members import Member
 from amaranthlug.transport.peer_auth import HEADER, PeerKeys
+from amaranthlug.transport.peer_wire import (
+    REPLY_HEAD_BYTES,
+    REQUEST_HEAD_BYTES,
+    count_bytes,
+    count_message,
+    decode_message,
+    encode_message,
+)
 
 IDLE_PER_PEER = 4
 """Idle connections kept per peer; more are closed after use."""
@@ -62,7 +69,7 @@
             "sender": self.me.address,
             "incarnation": self.me.incarnation,
         }
-        body = json.dumps(full, separators=(",", ":")).encode()
+        body = encode_message(full)
         auth = self.keys.sign(self.me.address, body)
         limit = gevent.Timeout(timeout_s)
         try:
@@ -109,8 +116,9 @@
         auth: str,
     ) -> Result[dict[str, Any], PeerError]:
         """Sends one request; closes the connection unless it went well."""
-        self.metrics.incr("control.messages_sent")
-        self.metrics.incr("control.bytes_sent", len(body) + len(auth))
+        sent = REQUEST_HEAD_BYTES + len(body) + len(auth)
+        count_message(self.metrics, name, "sent")
+        count_bytes(self.metrics, name, "sent", sent)
         whole = False
         try:
             response = client.post(
@@ -125,7 +133,8 @@
                 self.put_idle(address, client)
             else:
                 client.close()
-        self.metrics.incr("control.bytes_received", len(data))
+        received = REPLY_HEAD_BYTES + len(data)
+        count_bytes(self.metrics, name, "received", received)
         if response.status_code != 200:
             return Err(
                 PeerError(
@@ -171,9 +180,6 @@
 ) -> Result[dict[str, Any], PeerError]:
     """Decodes a reply."""
     try:
-        reply = json.loads(data)
-    except ValueError:
-        return Err(PeerError(address, f"{name}: reply is not JSON"))
-    if not isinstance(reply, dict):
-        return Err(PeerError(address, f"{name}: reply is not an object"))
-    return Ok(reply)
+        return Ok(decode_message(data))
+    except ValueError as error:
+        return Err(PeerError(address, f"{name}: {error}"))
--- a/test/test_exchange.py
+++ b/test/test_exchange.py
@@ -1,9 +1,12 @@
 """Guards exchange and rumours: reach, cost, isolation of failing parts."""
 
+import json
+
 import pytest
 from _fakes_fleet import Fleet
 
 from amaranthlug.coordination import rumours
+from amaranthlug.coordination.exchange import MESSAGE_BYTES
 
 
 class Section:
@@ -41,6 +44,28 @@
         fleet.nodes["n0"].exchange.register(Section("b-works"))
 
 
+class Rows(Section):
+    """A section that fills the bytes it gets."""
+
+    def outgoing_within(self, limit_bytes):
+        """Returns as much as it may."""
+        return {"x": "y" * max(0, limit_bytes - 10)}
+
+
+def test_sections_share_the_bytes_of_a_message():
+    """Two full sections must neither exceed the bound nor starve each other."""
+    node = Fleet(1).nodes["n0"]
+    node.exchange.register(Rows("r1"))
+    node.exchange.register(Rows("r2"))
+    first = node.exchange.outgoing()
+    second = node.exchange.outgoing()
+    for message in (first, second):
+        size = len(json.dumps(message, separators=(",", ":")))
+        assert size <= MESSAGE_BYTES + 40
+    assert len(first["r1"]["x"]) == len(second["r2"]["x"])
+    assert len(first["r2"]["x"]) == len(second["r1"]["x"]) > 20
+
+
 def test_rumour_reaches_all_at_bounded_cost():
     """A withdrawal must spread at once, yet never as a message to all."""
     fleet = Fleet(12)
--- a/test/test_peer_messages.py
+++ b/test/test_peer_messages.py
@@ -12,6 +12,7 @@
 from amaranthlug.state.members import Member
 from amaranthlug.transport.peer_auth import PeerKeys, PeerReceiver
 from amaranthlug.transport.peer_client import HttpPeerLink
+from amaranthlug.transport.peer_wire import decode_message, encode_message
 from amaranthlug.transport.statsd_metrics import StatsdMetrics
 
 KEYS = {"k2": "new", "k1": "old"}
@@ -73,6 +74,27 @@
     assert sent["control.bytes_received"] == got["control.bytes_sent"]
 
 
+def test_replication_is_counted_apart_from_control(served):
+    """Copies grow with requests and would hide the growth with nodes."""
+    served.handlers.register("slot_copy", lambda message: {})
+    client = link()
+    assert client.call(served.address, "slot_copy", {}, 2.0).is_ok()
+    assert client.metrics.counters["replication.bytes_sent"] > 0
+    assert not any(n.startswith("control.") for n in client.metrics.counters)
+    assert served.metrics.counters["replication.bytes_received"] > 0
+
+
+@pytest.mark.parametrize("count", [0, 3, 5_000])
+def test_message_survives_compression(count):
+    """A message that comes back changed would corrupt what nodes agree on."""
+    message = {"rows": [{"key": f"ü-{i}", "n": i} for i in range(count)]}
+    packed = encode_message(message)
+    assert decode_message(packed) == message
+    for broken in (packed[:-1], b"1" + packed, b""):
+        with pytest.raises(ValueError):
+            decode_message(broken)
+
+
 def test_peer_that_closes_without_an_answer_is_an_error():
     """A killed peer ended the tasks that copy bills and failed requests."""
     server = StreamServer(("127.0.0.1", 0), lambda sock, _: sock.recv(1))
