Assume half of each difficulty in sessions at the start

Cause: sessions that started before any request was counted were held to the target by their first request's difficulty alone and pinned to the dearest version, which kept 5% of mapalimpo's session requests on basalt@1.

Change: both difficulties count half for a session while no share is known.

--- a/packages/amaranthlug/src/amaranthlug/protocol/plan_ranking.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/plan_ranking.py
@@ -18,6 +18,9 @@
 SEEN_OFTEN = 20
 """Requests after which a difficulty counts as occurring in a kind."""
 
+ASSUMED_SHARE = 0.5
+"""Share of either difficulty in a session while none is known."""
+
 WELL_KNOWN = 0.04
 """Error of an option's quality below which exploring it tells nothing new."""
 
@@ -110,7 +113,11 @@
 
 
 def share_of_difficulty(
-    evidence: Evidence, labels: list[str], kind: str, hard: bool
+    evidence: Evidence,
+    labels: list[str],
+    kind: str,
+    hard: bool,
+    session: bool,
 ) -> float:
     """Returns the share of a kind's requests that have this difficulty."""
     counts = {
@@ -124,7 +131,11 @@
         # Kinds are alike enough for the first requests of one of them.
         counts = evidence.started_by_difficulty()
         total = counts[True] + counts[False]
-    if total < SEEN_OFTEN or not counts[hard]:
+    if total < SEEN_OFTEN:
+        # A session serves both difficulties; one that starts before any share
+        # is known would else be pinned to the dearest version for hard ones.
+        return ASSUMED_SHARE if session else 1.0
+    if not counts[hard]:
         return 1.0
     return counts[hard] / total
 
@@ -134,7 +145,9 @@
 ) -> Ranking:
     """Ranks direct use and cascades of versions with their labels."""
     labels = [label for _, label in versions]
-    share = share_of_difficulty(evidence, labels, ask.kind.name, ask.hard)
+    share = share_of_difficulty(
+        evidence, labels, ask.kind.name, ask.hard, ask.session
+    )
     own = _options(evidence, versions, ask, ask.hard)
     others = _options(evidence, versions, ask, not ask.hard)
     if share == 1.0:
