--- a/packages/amaranthlug/src/amaranthlug/state/priors.py
+++ b/packages/amaranthlug/src/amaranthlug/state/priors.py
@@ -12,6 +12,10 @@
 MAX_OVERALL = 50.0
 """The same for a value over all kinds, as kinds differ."""
 
+FREE_DEVIANCE = 2.0
+"""Deviance without effect on a test, 1.4 standard errors; the first bad answer
+to a version of 96% good ones stays below."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Prior:
@@ -36,14 +40,20 @@
 def agreement(prior: Prior, good: float, rated: float) -> float:
     """Returns the part of an offline test that real ratings leave standing.
 
-    The test keeps its weight within one standard error of the difference and
-    loses it as the likelihood of a larger one falls: 0.22 of it is left at two
-    and 0.02 at three.
+    The deviance of the ratings from the prior is close to a squared standard
+    error also for few of them. A squared normal error is not: a single bad
+    answer would take all weight from a test of 96% good ones.
     """
     if prior.ratings <= 0 or rated <= 0:
         return 1.0
-    pooled = (prior.quality * prior.ratings + good) / (prior.ratings + rated)
-    pooled = min(0.99, max(0.01, pooled))
-    variance = pooled * (1 - pooled) * (1 / prior.ratings + 1 / rated)
-    squared = (good / rated - prior.quality) ** 2 / variance
-    return math.exp(-max(0.0, squared - 1) / 2)
+    assumed = min(0.99, max(0.01, prior.quality))
+    expected = assumed * rated
+    # Half an answer towards the expected one, as counts are whole.
+    nearer = min(0.5, abs(good - expected))
+    good += nearer if good < expected else -nearer
+    share = min(0.999, max(0.001, good / rated))
+    # The test itself has an error, so the pair weighs less than the ratings.
+    weight = rated * prior.ratings / (rated + prior.ratings)
+    deviance = share * math.log(share / assumed)
+    deviance += (1 - share) * math.log((1 - share) / (1 - assumed))
+    return math.exp(-max(0.0, 2 * weight * deviance - FREE_DEVIANCE) / 2)
--- a/test/test_priors.py
+++ b/test/test_priors.py
@@ -74,3 +74,10 @@
     version = offline_tested(prior_by_kind={"lgo": 0.9, "log": 1.2})
     keys = {problem.key for problem in check_version(catalog, version)}
     assert keys == {"prior_by_kind", "prior_by_kind.log"}
+
+
+def test_one_bad_answer_does_not_discard_an_offline_test():
+    """A normal approximation took all weight from it at the first one."""
+    evidence = Evidence("inc-0")
+    evidence.count(CELL, bad=1)
+    assert evidence.bounds(CELL, 0.96, offline=200).mean > 0.94
