--- a/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/history.py
@@ -38,6 +38,7 @@
         outcome: `answered`, `refused` or `failed`.
         code: Refusal code, or the error of a failure.
         moved: Header `X-Session-Moved`.
+        resent: Other sendings with the same key exist outside this record.
         tries: Its attempts in order.
     """
 
@@ -61,6 +62,7 @@
     first_token_s: float = -1.0
     total_s: float = 0.0
     attempts: int = 0
+    resent: bool = False
     status: int = 0
     outcome: str = FAILED
     code: str = ""
--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -9,6 +9,7 @@
 
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.protocol.attempt import Attempt
+from amaranthlug.protocol.callers import CallerLeftError
 from amaranthlug.protocol.chat import output_limit
 from amaranthlug.protocol.pace import Pace
 from amaranthlug.protocol.poison import Suspects, poison_digest
@@ -97,7 +98,12 @@
             attempt = self.start(step, picked.ok_value)
             try:
                 opened = attempt.open(self.call(step))
-            except BaseException:
+            except BaseException as error:
+                if isinstance(error, CallerLeftError):
+                    # The request may be on its way already.
+                    step.received = True
+                    attempt.cancel()
+                    attempt.end("cancelled", "", failed=False)
                 attempt.end("error", "", failed=False)
                 raise
             if isinstance(opened, Ok):
@@ -189,6 +195,9 @@
         if error.reason == "timeout":
             attempt.cancel()
         attempt.drop()
+        if attempt.waited_in_vain(error.reason):
+            attempt.end("unreached", "", failed=False)
+            return
         attempt.end(outcome_of(error), "", failed=True)
 
     def may_retry(self, step: StepRun, error: UpstreamError) -> bool:
