Give each fleet peer keys of its own

Two fleets on one machine shared the key of peer messages; when one took a port that the other had named, they became members of each other. Each Fleet now draws its key. Two soaks side by side (a trial): members known were [11, 11, 11, 11] of 4, and the start failed after 25 s. The new test failed before by construction. Experiments of several contributors at the same time may have met this.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
@@ -6,6 +6,7 @@
 import pathlib
 import tempfile
 import time
+import uuid
 from collections.abc import Iterator
 from typing import Any
 
@@ -42,7 +43,6 @@
 READY_LIMIT_S = 25.0
 DRAIN_LIMIT_S = 12.0
 KEY_SLOTS = set(range(64))
-PEER_KEYS = {"k1": "loopback-test-key"}
 
 
 class FleetError(Exception):
@@ -65,6 +65,9 @@
         self.addresses: dict[str, str] = {}
         self.placeholder: dict[str, Part] = {}
         self.wires: FaultWires | None = None
+        # Fleets on one machine reuse each other's ports; with one key they
+        # would take each other for members.
+        self.peer_keys = {"k1": uuid.uuid4().hex}
 
     def start(self, with_nodes: bool = True) -> "Fleet":
         """Starts everything, publishes the configuration and waits.
@@ -256,7 +259,7 @@
                 zone=zones[index % len(zones)],
                 region=self.deployment.region,
                 platform=platform,
-                peers=PeerSettings(PEER_KEYS, tuple(addresses[:3])),
+                peers=PeerSettings(self.peer_keys, tuple(addresses[:3])),
                 zone_order=zones_by_distance(zones, index % len(zones)),
                 timings=self.options.timings,
                 log_level="WARNING",
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -101,3 +101,9 @@
     monkeypatch.setitem(sys.modules, "amaranthlug_standins.experiments", None)
     result = CliRunner().invoke(experiment, ["list"])
     assert result.exit_code == 1 and MISSING in result.output
+
+
+def test_fleets_have_different_peer_keys():
+    """Fleets beside each other merged when one took a port of the other."""
+    first, second = (Fleet(hengyun(), FleetOptions()) for _ in range(2))
+    assert first.peer_keys != second.peer_keys
