Let soak faults meet streams under way and excuse less

Answers took 0.1 s, so that faults seldom met a request under way, and any planned event loosened the limit of a withdrawal from 3 s to 6 s. Engines now decode at 20 ms a token, and only faults of the control plane count as faults that excuse.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/run_history.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/run_history.py
@@ -22,7 +22,11 @@
 """Act: a node process started at the target's address."""
 
 FAULT = "fault"
-"""Act: a fault from `at` to `until`; the detail names it."""
+"""Act: a fault from `at` to `until` that may keep nodes from news; the detail
+names it. Rules grant more time while it lasts."""
+
+EVENT = "event"
+"""Act: another fault or an operator's work, which excuses nothing."""
 
 
 class Act(msgspec.Struct, kw_only=True):
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/soak.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/soak.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from amaranthlug.state.catalog import Pool
+from amaranthlug_standins.batch import Pace
 from amaranthlug_standins.config_timeline import accepted_revisions
 from amaranthlug_standins.deployments import Deployment, hengyun
 from amaranthlug_standins.fleet import Fleet
@@ -48,6 +49,9 @@
 
 WATCH_S = 0.4
 
+PACE = Pace(step_ms=20.0)
+"""Answers take one to four seconds, so that faults meet streams under way."""
+
 
 def small_deployment() -> Deployment:
     """Returns a sample deployment with fewer VMs."""
@@ -121,7 +125,7 @@
 def run_plan(plan: Plan) -> SoakRun:
     """Runs one plan on a deployment of its own."""
     deployment = small_deployment()
-    options = FleetOptions(seed=plan.seed, faults=True)
+    options = FleetOptions(seed=plan.seed, faults=True, pace=PACE)
     with Fleet(deployment, options) as fleet:
         fleet.start()
         mix = sample_mix(deployment, RATE, LOAD_S)
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/soak_faults.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/soak_faults.py
@@ -16,13 +16,14 @@
 from amaranthlug_standins.proxy_rules import FaultRule
 from amaranthlug_standins.run_history import (
     DEPART,
+    EVENT,
     EXIT,
     FAULT,
     SHUTDOWN,
     START,
     Act,
 )
-from amaranthlug_standins.soak_plan import PlannedFault
+from amaranthlug_standins.soak_plan import CONTROL_FAULTS, PlannedFault
 from amaranthlug_standins.trial import Trial
 
 GONE_S = 8.0
@@ -55,7 +56,8 @@
     def run(self, fault: PlannedFault) -> None:
         """Brings one fault about at its time and ends it."""
         gevent.sleep(fault.at_s)
-        act = Act(at=time.time(), kind=FAULT, detail=fault.kind)
+        kind = FAULT if fault.kind in CONTROL_FAULTS else EVENT
+        act = Act(at=time.time(), kind=kind, detail=fault.kind)
         act.until = act.at + EXIT_LIMIT_S
         self.trial.acts.append(act)
         name = "do_" + fault.kind.replace("-", "_")
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/soak_plan.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/soak_plan.py
@@ -12,6 +12,17 @@
 NODE_FAULTS = ("node-killed", "node-paused", "graceful-shutdown", "zone-cut")
 """Faults that take a node; two at once take different ones."""
 
+CONTROL_FAULTS = (
+    "node-killed",
+    "node-paused",
+    "zone-cut",
+    "log-outage",
+    "log-answers-lost",
+    "connections-silent",
+    "peers-slow",
+)
+"""Faults that may keep nodes from news, so that rules grant them more time."""
+
 KINDS = (
     *NODE_FAULTS,
     "log-outage",
