--- a/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/cut_streams.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/cut_streams.py
@@ -31,7 +31,7 @@
 
 
 def check(stage: Stage, truth: Truth, counts: Counts) -> None:
-    """Requires that answers were continued; only calls that may run once may fail."""
+    """Requires that answers go on; calls that may run once may fail."""
     continued = sum(
         run.first > 0 for runs in truth.runs.values() for run in runs
     )
