--- a/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
@@ -36,6 +36,10 @@
 Leaving out only one server withdrew all versions when three of nine servers
 cut their streams."""
 
+CALM_OUTCOMES = 10
+"""Successes assumed of the other versions, so that a few outcomes of theirs do
+not decide."""
+
 PROVEN_RATED = 30
 """Ratings after which a version outside a roll-out counts as proven."""
 
@@ -63,6 +67,7 @@
         own: By server, when the server's own test last restarted.
         ejected: Servers whose outcomes do not speak against the version.
         total: Over all cells.
+        others: Good and bad requests of all other versions at that time.
     """
 
     cells: dict[Cell, Tally] = dataclasses.field(default_factory=dict)
@@ -71,6 +76,7 @@
     own: dict[str, Tally] = dataclasses.field(default_factory=dict)
     ejected: set[str] = dataclasses.field(default_factory=set)
     total: Tally = dataclasses.field(default_factory=Tally)
+    others: tuple[int, int] = (0, 0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -130,7 +136,7 @@
         self.metrics = metrics
         self.epoch = epoch
         self.baselines: dict[str, Baseline] = {}
-        self.suspicions: dict[str, float] = {}
+        self.doubts: dict[str, float] = {}
 
     def start(self, timers: TimerService) -> None:
         """Tests all versions periodically."""
@@ -151,13 +157,20 @@
         """Tells whether a version has shown what it does."""
         if self.introducing(version) is not None:
             return False
-        return self.evidence.by_version(self.label(version)).rated >= (
-            PROVEN_RATED
-        )
+        label = self.label(version)
+        rated = self.evidence.by_version(label).rated
+        declared = self.view.catalog().versions.get(version)
+        if declared and label == str(version):
+            rated += declared.prior_ratings
+        return rated >= PROVEN_RATED
 
     def suspicion(self, version: VersionId) -> float:
         """Returns the log ratio's part of its limit, 0 to 1."""
-        return self.suspicions.get(self.label(version), 0.0)
+        return min(1.0, max(0.0, self.doubt(version)))
+
+    def doubt(self, version: VersionId) -> float:
+        """Returns the log ratio's part of its limit, below 0 if it is good."""
+        return self.doubts.get(self.label(version), 0.0)
 
     def check(self) -> None:
         """Tests all versions once; withdraws and ejects."""
@@ -170,7 +183,7 @@
         rollout = self.introducing(version)
         limit = LIMIT_PROVEN if rollout is None else LIMIT_UNPROVEN
         base = self.baselines.setdefault(label, Baseline())
-        highest = 0.0
+        highest = -math.inf
         for failures in (False, True):
             found = self._find(label, rollout, base, failures)
             self._check_servers(version, base, found, failures, limit)
@@ -178,7 +191,7 @@
             if found.value > limit:
                 word = "failures" if failures else "ratings"
                 self._act(version, found, word)
-        self.suspicions[label] = min(1.0, max(0.0, highest))
+        self.doubts[label] = highest
         if rollout is None and highest <= 0:
             self._restart(label, base)
 
@@ -229,6 +242,27 @@
                 return True
         return False
 
+    def _others(self, label: str) -> tuple[int, int]:
+        """Returns good and bad outcomes of requests to other versions."""
+        tallies = [
+            self.evidence.by_version(self.label(other))
+            for other in self.view.catalog().versions
+            if self.label(other) != label
+        ]
+        found = [outcomes(tally, Tally(), True) for tally in tallies]
+        return sum(good for good, _ in found), sum(bad for _, bad in found)
+
+    def _share_of_others(self, label: str, base: Baseline) -> float:
+        """Returns the share of failures of others since the test restarted.
+
+        Lost servers and a cut network fail all versions alike, which says
+        nothing against one of them: without this reference a few faults at
+        once withdrew every version of a small fleet.
+        """
+        good, bad = self._others(label)
+        good, bad = max(0, good - base.others[0]), max(0, bad - base.others[1])
+        return bad / (good + bad + CALM_OUTCOMES)
+
     def _own_share(self, label: str, failures: bool) -> float:
         good, bad = outcomes(self.evidence.by_version(label), Tally(), failures)
         return bad / (good + bad) if good + bad >= REFERENCE_RATED else 0.0
@@ -243,7 +277,8 @@
         test = RatioTest()
         if failures:
             past = base.reference.get(Cell(label), 0.0)
-            limit = acceptable(past, LEAST_FAILED)
+            shared = self._share_of_others(label, base)
+            limit = acceptable(max(past, shared), LEAST_FAILED)
             total = self.evidence.by_version(label)
             good, bad = outcomes(total, base.total, True)
             test.add(good, bad, limit)
@@ -335,6 +370,7 @@
                 bounds = self.evidence.bounds(cell, 0.5)
                 base.reference[cell] = 1 - bounds.lower
         base.reference[Cell(label)] = self._own_share(label, failures=True)
+        base.others = self._others(label)
         base.total = dataclasses.replace(total)
         servers = self.evidence.by_server(label)
         base.servers = {
