--- a/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/withdrawal_watch.py
@@ -164,10 +164,6 @@
             rated += declared.prior_ratings
         return rated >= PROVEN_RATED
 
-    def suspicion(self, version: VersionId) -> float:
-        """Returns the log ratio's part of its limit, 0 to 1."""
-        return min(1.0, max(0.0, self.doubt(version)))
-
     def doubt(self, version: VersionId) -> float:
         """Returns the log ratio's part of its limit, below 0 if it is good."""
         return self.doubts.get(self.label(version), 0.0)
@@ -197,12 +193,25 @@
 
     def _act(self, version: VersionId, found: Finding, word: str) -> None:
         evidence = f"{word}: log ratio {found.value:.1f}"
+        if not self._servers_known(self.label(version)):
+            return
         if found.alone and self._server_fails_elsewhere(version):
             return
         if found.alone or found.rest > REST_IS_BAD:
             self.metrics.incr("policy.withdrawn")
             self.withdraw(version, f"bad {evidence}")
 
+    def _servers_known(self, label: str) -> bool:
+        """Tells whether most outcomes can be attributed to servers.
+
+        Snapshots of evidence have no servers, so a node that has just started
+        cannot yet tell a bad version from a version on one bad server.
+        """
+        servers = self.evidence.by_server(label).values()
+        known = sum(t.rated + t.complete + t.failed for t in servers)
+        total = self.evidence.by_version(label)
+        return 2 * known >= total.rated + total.complete + total.failed > 0
+
     def _check_servers(
         self,
         version: VersionId,
--- a/test/test_evidence_snapshot.py
+++ b/test/test_evidence_snapshot.py
@@ -2,12 +2,13 @@
 
 import json
 
-from _policy import FakeMembers
+from _policy import FakeMembers, Policy, catalog_of, version_id
 from result import Ok
 
 from amaranthlug.coordination.evidence_keeper import FIRST_S, EvidenceKeeper
 from amaranthlug.coordination.evidence_pool import EvidencePool
 from amaranthlug.state import evidence_snapshot
+from amaranthlug.state.catalog import Rollout, RolloutStage
 from amaranthlug.state.evidence import Cell, Evidence, Tally
 from amaranthlug.state.evidence_snapshot import adopt_snapshot, take_snapshot
 from amaranthlug.state.record_codec import decode_record, encode_record
@@ -159,3 +160,22 @@
     assert nodes[1].incarnation == "b+1"
     tell(nodes[1], nodes[0])
     assert nodes[0].pooled(CELL).good == 11
+
+
+def test_a_snapshot_alone_withdraws_nothing():
+    """It has no servers, so one bad server would look like a bad version."""
+    rollout = Rollout("r", "mid", "1", "2", (RolloutStage(1.0, 20, 2),))
+    policy = Policy(catalog_of({"mid@1": 1, "mid@2": 1}, [rollout]))
+    policy.step(rollout, 0)
+    old = Evidence("old")
+    bad = Cell("mid@2", "log")
+    old.count(bad, started=20, complete=20, bad=20)
+    snapshot = take_snapshot(old, "s")
+    adopt(snapshot, policy.evidence)
+    policy.watch.check()
+    assert policy.watch.doubt(version_id("mid@2")) > 1
+    assert not policy.view.withdrawn
+    for cell in (bad, Cell("mid@2", server="mid@2:0")):
+        policy.evidence.count(cell, complete=20, bad=20)
+    policy.watch.check()
+    assert policy.view.withdrawn
