--- a/packages/amaranthlug-standins/src/amaranthlug_standins/trial.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/trial.py
@@ -8,8 +8,8 @@
 
 from amaranthlug_standins.counts import Counts, Setting, count
 from amaranthlug_standins.fleet import Fleet
-from amaranthlug_standins.history import ANSWERED
 from amaranthlug_standins.load import Load, Mix
+from amaranthlug_standins.promise_checks import billed
 from amaranthlug_standins.run_history import (
     Act,
     History,
@@ -76,14 +76,12 @@
         )
 
     def settle(self) -> Truth:
-        """Waits until every answered call has a bill, or for the limit."""
+        """Waits until every call that ran has a bill, or for the limit."""
         started = time.monotonic()
         while True:
             truth = self.truth()
             missing = any(
-                call.outcome == ANSWERED
-                and not call.service
-                and not truth.bills_of(call)
+                not call.service and billed(call, truth).missing
                 for call in self.load.calls
             )
             if not missing or time.monotonic() - started > SETTLE_LIMIT_S:
@@ -103,11 +101,15 @@
             revisions=self.revisions,
         )
 
+    def record(self, truth: Truth) -> None:
+        """Adds the history to the recording, if there is one."""
+        if Recording.current is not None:
+            Recording.current.histories.append(self.history(truth))
+
     def finish(self, setting: Setting | None = None) -> Counts:
         """Waits for the bills and counts the run."""
         truth = self.settle()
-        if Recording.current is not None:
-            Recording.current.histories.append(self.history(truth))
+        self.record(truth)
         return count(
             self.scenario,
             self.seed,
--- a/packages/amaranthlug-ui/src/amaranthlug_ui/experiment.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/experiment.py
@@ -4,6 +4,7 @@
 import importlib
 import json
 import pathlib
+import signal
 import sys
 from typing import Any
 
@@ -62,6 +63,8 @@
             f"{', '.join(scenarios)}"
         )
     scenario = scenarios[name]
+    # The default action would leave the node processes behind.
+    signal.signal(signal.SIGTERM, end_by_signal)
     histories = load_standins("run_history")
     with (
         histories.Recording() as recording,
@@ -78,6 +81,15 @@
     sys.exit(max(item.exit_code() for item in counts.values()))
 
 
+def end_by_signal(number: int, frame: Any) -> None:
+    """Ends the command so that its fleet is stopped.
+
+    Raises:
+        SystemExit: With the usual code of an end by signal.
+    """
+    sys.exit(128 + number)
+
+
 class ProgressBar:
     """Bar over seconds of load, on standard error."""
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/plan_ranking.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/plan_ranking.py
@@ -7,6 +7,7 @@
 from amaranthlug.protocol.services import PlanStep
 from amaranthlug.state.catalog import RequestKind, Version
 from amaranthlug.state.evidence import Bounds, Cell, Evidence
+from amaranthlug.state.priors import prior_of
 
 OUTPUT_SHARE = 0.5
 """Part of the longest answer that an average one takes."""
@@ -17,6 +18,9 @@
 SEEN_OFTEN = 20
 """Requests after which a difficulty counts as occurring in a kind."""
 
+ASSUMED_SHARE = 0.5
+"""Share of either difficulty in a session while none is known."""
+
 WELL_KNOWN = 0.04
 """Error of an option's quality below which exploring it tells nothing new."""
 
@@ -53,11 +57,13 @@
 
     Attributes:
         surplus: Expected quality of the first option above the target.
+        safe: The first option's lower bound meets the target.
     """
 
     options: tuple[Option, ...]
     unknown: tuple[Option, ...]
     surplus: float = 0.0
+    safe: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,7 +113,11 @@
 
 
 def share_of_difficulty(
-    evidence: Evidence, labels: list[str], kind: str, hard: bool
+    evidence: Evidence,
+    labels: list[str],
+    kind: str,
+    hard: bool,
+    session: bool,
 ) -> float:
     """Returns the share of a kind's requests that have this difficulty."""
     counts = {
@@ -117,7 +127,15 @@
         for side in (True, False)
     }
     total = counts[True] + counts[False]
-    if total < SEEN_OFTEN or not counts[hard]:
+    if total < SEEN_OFTEN:
+        # Kinds are alike enough for the first requests of one of them.
+        counts = evidence.started_by_difficulty()
+        total = counts[True] + counts[False]
+    if total < SEEN_OFTEN:
+        # A session serves both difficulties; one that starts before any share
+        # is known would else be pinned to the dearest version for hard ones.
+        return ASSUMED_SHARE if session else 1.0
+    if not counts[hard]:
         return 1.0
     return counts[hard] / total
 
@@ -127,7 +145,9 @@
 ) -> Ranking:
     """Ranks direct use and cascades of versions with their labels."""
     labels = [label for _, label in versions]
-    share = share_of_difficulty(evidence, labels, ask.kind.name, ask.hard)
+    share = share_of_difficulty(
+        evidence, labels, ask.kind.name, ask.hard, ask.session
+    )
     own = _options(evidence, versions, ask, ask.hard)
     others = _options(evidence, versions, ask, not ask.hard)
     if share == 1.0:
@@ -182,7 +202,7 @@
         and share * o.upper + (1 - share) * best >= target
     )
     chosen = next(m for option, m in pairs if option is order[0])
-    return Ranking(order, unknown, chosen.mean - target)
+    return Ranking(order, unknown, chosen.mean - target, bool(safe))
 
 
 def _frontier(options: list[Option]) -> list[Option]:
@@ -221,8 +241,11 @@
 ) -> tuple[Option, Step]:
     kind = ask.kind
     cell = Cell(label, kind.name, hard)
-    prior = version.prior_quality
-    bounds = evidence.bounds(cell, prior)
+    known = prior_of(version, kind.name, hard)
+    prior = known.quality
+    # A readmitted version has disproved its offline test once.
+    offline = known.ratings if label == str(version.id) else 0.0
+    bounds = evidence.bounds(cell, prior, offline=offline)
     output = int(kind.max_output_tokens * OUTPUT_SHARE)
     cost = float(version.cost(ask.prompt_tokens, output))
     step = Step(cell, prior, cost, bounds)
--- a/test/_stub_engine.py
+++ b/test/_stub_engine.py
@@ -11,10 +11,11 @@
     """Counts accepted connections."""
 
     connections = 0
+    silent_up_to = 0
 
     def handle(self, sock, address):
         self.connections += 1
-        super().handle(sock, address)
+        super().handle(sock, (address[0], self.connections))
 
 
 class StubEngine:
@@ -23,7 +24,8 @@
     Attributes:
         faults: For each next stream `cut` (closes after 3 tokens), `silent`
             (sends nothing more after 3 tokens), `mute` (no first byte),
-            `unfinished` (ends the body without the end marker), `busy` (503).
+            `unfinished` (ends the body without the end marker), `busy` (503),
+            `echo` (500 with the request as its body).
         words: Tokens of an answer.
     """
 
@@ -43,6 +45,10 @@
     def stop(self):
         self.server.stop(timeout=0)
 
+    def silence(self):
+        """Connections that are open now answer nothing any more."""
+        self.server.silent_up_to = self.server.connections
+
     @property
     def connections(self):
         return self.server.connections
@@ -53,6 +59,8 @@
 
     def app(self, environ, start_response):
         raw = environ["wsgi.input"].read()
+        if int(environ["REMOTE_PORT"]) <= self.server.silent_up_to:
+            gevent.sleep(5)
         path = environ["PATH_INFO"]
         if environ["REQUEST_METHOD"] == "DELETE":
             self.deleted.append(path)
@@ -69,6 +77,9 @@
         if fault == "busy":
             start_response("503 Busy", [("Retry-After", "2")])
             return [b"{}"]
+        if fault == "echo":
+            start_response("500 Error", [])
+            return [raw]
         if fault == "mute":
             gevent.sleep(5)
         start_response("200 OK", [("Content-Type", "text/event-stream")])
