Count only confirmed crashes against a request

Change: crashed() tells whether the server turned out to run on, and the sender counts the others only; three attempts remain the limit.

--- a/packages/amaranthlug/src/amaranthlug/protocol/poison.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/poison.py
@@ -17,8 +17,12 @@
         """Refuses a condemned digest; a suspected one waits to run alone."""
         ...
 
-    def crashed(self, digest: str, address: str) -> None:
-        """Counts a crash of an upstream while it ran the digest."""
+    def crashed(self, digest: str, address: str) -> bool:
+        """Counts a crash of an upstream while it ran the digest.
+
+        Returns:
+            False when the upstream turned out to run on.
+        """
         ...
 
     def finished(self, digest: str) -> None:
@@ -33,8 +37,9 @@
         """Admits every digest."""
         return Ok(None)
 
-    def crashed(self, digest: str, address: str) -> None:
-        """Ignores a crash."""
+    def crashed(self, digest: str, address: str) -> bool:
+        """Takes each lost connection for a crash."""
+        return True
 
     def finished(self, digest: str) -> None:
         """Ignores an end."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -202,8 +202,10 @@
         if error.reason in SILENT_REASONS and not error.not_received:
             step.may_have_run = True
         if error.reason in CRASH_REASONS:
-            step.crashes += 1
-            self.suspects.crashed(poison_digest(step.request), error.address)
+            # The wait for the check is spent before a server is tried again.
+            step.crashes += self.suspects.crashed(
+                poison_digest(step.request), error.address
+            )
         if error.reused:
             # The connection may have gone silent or died while it was idle,
             # and others with it. The server itself may be well.
--- a/packages/amaranthlug/src/amaranthlug/protocol/suspects.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/suspects.py
@@ -93,14 +93,20 @@
             return Err(poisoned(not_run=True))
         return Ok(None)
 
-    def crashed(self, digest: str, address: str) -> None:
-        """Counts a crash of a server while it ran the digest."""
+    def crashed(self, digest: str, address: str) -> bool:
+        """Counts a crash of a server while it ran the digest.
+
+        Returns:
+            False when the server turned out to run on.
+        """
         crash = self._name(address)
         self.metrics.incr("poison.crashes")
         self._spread({"digest": digest, "crash": crash})
         self.finished(digest)
         if self.confirm is not None:
             self.confirm(address, crash)
+        suspect = self.suspects.get(digest)
+        return suspect is None or crash not in suspect.cleared
 
     def finished(self, digest: str) -> None:
         """Ends the reservations of a suspect."""
--- a/test/_fakes_parts.py
+++ b/test/_fakes_parts.py
@@ -167,6 +167,7 @@
 
     def __init__(self):
         self.crashes = []
+        self.running_on = False
 
     def admit(self, digest):
         if self.crashes.count(digest) >= 2:
@@ -174,7 +175,10 @@
         return Ok(None)
 
     def crashed(self, digest, address):
+        if self.running_on:
+            return False
         self.crashes.append(digest)
+        return True
 
     def finished(self, digest):
         pass
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -197,6 +197,16 @@
     bench.check_settled()
 
 
+def test_lost_connections_to_running_servers_are_no_crashes():
+    """An idempotent request given up after two cuts of well servers."""
+    bench = Bench(*[Script(error="reset")] * 2)
+    bench.dispatcher.suspects = bench.sender.suspects = FakeSuspects()
+    bench.sender.suspects.running_on = True
+    assert bench.ask().is_ok()
+    assert len(bench.engine.calls) == 3
+    bench.check_settled()
+
+
 def test_condemned_request_is_told_whether_it_ran():
     """A poisoned request refused as "not run" by the node that ran it."""
     bench = Bench(*[Script(error="reset")] * 9)
