--- a/benchmarks/fleet_node.py
+++ b/benchmarks/fleet_node.py
@@ -27,7 +27,7 @@
 from amaranthlug.coordination.log_writer import LogWriter
 from amaranthlug.coordination.membership import Membership
 from amaranthlug.coordination.peers import PeerHandlers
-from amaranthlug.coordination.rumours import RumourMill
+from amaranthlug.coordination.rumours import RumourSpreader
 from amaranthlug.coordination.run_register import SlotRunRegister
 from amaranthlug.coordination.session_pins import SlotSessionPins
 from amaranthlug.coordination.slot_claims import SlotClaims
@@ -114,7 +114,9 @@
         self.members = members = Membership(
             me, link, handlers, timers, vms, timings, tuple(seeds)
         )
-        members.use_rumours(RumourMill(link, members, handlers, self.metrics))
+        members.use_rumours(
+            RumourSpreader(link, members, handlers, self.metrics)
+        )
         log = HttpLogService(log_url)
         feed = LogFollower(
             log, link, handlers, members, timers, self.metrics, timings
--- a/packages/amaranthlug/src/amaranthlug/coordination/rumours.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/rumours.py
@@ -30,7 +30,7 @@
 Receiver = Callable[[dict[str, Any]], bool]
 
 
-class RumourMill:
+class RumourSpreader:
     """Implements `Rumours` over the message `rumour`."""
 
     def __init__(
--- a/packages/amaranthlug/src/amaranthlug/parts_fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/parts_fleet.py
@@ -12,7 +12,7 @@
 from amaranthlug.coordination.log_writer import LogWriter
 from amaranthlug.coordination.membership import Membership
 from amaranthlug.coordination.peers import PeerHandlers
-from amaranthlug.coordination.rumours import RumourMill
+from amaranthlug.coordination.rumours import RumourSpreader
 from amaranthlug.coordination.run_register import SlotRunRegister
 from amaranthlug.coordination.session_pins import SlotSessionPins
 from amaranthlug.coordination.slot_claims import SlotClaims
@@ -45,7 +45,7 @@
     vms: VmWatch
     members: Membership
     exchange: Exchange
-    rumours: RumourMill
+    rumours: RumourSpreader
     follower: LogFollower
     writer: LogWriter
     config: ConfigView
@@ -87,7 +87,7 @@
             settings.seed,
         )
         exchange = Exchange(link, members, handlers, timers, timings.exchange_s)
-        rumours = RumourMill(link, members, handlers, metrics)
+        rumours = RumourSpreader(link, members, handlers, metrics)
         members.use_rumours(rumours)
         log_service = HttpLogService(settings.platform.log)
         follower = LogFollower(
--- a/test/_fakes_fleet.py
+++ b/test/_fakes_fleet.py
@@ -16,7 +16,7 @@
     handle_message,
 )
 from amaranthlug.coordination.platform import PlatformError
-from amaranthlug.coordination.rumours import RumourMill
+from amaranthlug.coordination.rumours import RumourSpreader
 from amaranthlug.coordination.run_register import SlotRunRegister
 from amaranthlug.coordination.session_pins import SlotSessionPins
 from amaranthlug.coordination.slot_claims import SlotClaims
@@ -207,7 +207,7 @@
             seeds=("n0",),
             seed=len(fleet.nodes),
         )
-        self.rumours = RumourMill(
+        self.rumours = RumourSpreader(
             self.link, self.membership, self.handlers, self.metrics
         )
         self.membership.use_rumours(self.rumours)
