Let a stream that gains tokens go on past three cut answers

Ruled out: the retry budget, and crashes counted by mistake. Change: only attempts without a new token since the last one count towards the limit of three; budget and deadline bound the rest. Each of the two new tests names its fault; the first fails without the change.

--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -27,7 +27,9 @@
 from amaranthlug.state.refusal import Refusal, RefusalCode, refuse
 
 MAX_ATTEMPTS = 3
-"""Attempts of a step before its first token."""
+"""Attempts of a step without a new token between them. A cut stream that gained
+tokens may go on: three engines that cut answers otherwise ended a request that
+the other engines could finish; budget and deadline bound it all the same."""
 MAX_CRASHES = 2
 """Attempts of a request that may end in a lost connection; a request that
 crashes each server that runs it must not reach a third."""
@@ -47,6 +49,8 @@
         may_have_run: An attempt ended without an answer that shows whether
             tokens were generated.
         crashes: Attempts that ended in a lost connection.
+        fruitless: Attempts since the last new token.
+        tokens_before: Tokens received before the attempt.
         fresh: Idle connections are not trusted any more.
     """
 
@@ -59,8 +63,14 @@
     crashes: int = 0
     fresh: bool = False
     attempts: int = 0
+    fruitless: int = 0
+    tokens_before: int = 0
     last_error: UpstreamError | None = None
 
+    def gained(self) -> bool:
+        """Tells whether the last attempt brought new tokens."""
+        return self.meter.tokens > self.tokens_before
+
     def time_left(self) -> float:
         """Returns seconds to the deadline."""
         return self.request.deadline - time.monotonic()
@@ -162,6 +172,8 @@
     def start(self, step: StepRun, upstream: Upstream) -> Attempt:
         """Creates the next attempt of a step."""
         step.attempts += 1
+        step.fruitless = 1 if step.gained() else step.fruitless + 1
+        step.tokens_before = step.meter.tokens
         step.tried.add(upstream.address)
         if step.meter.tokens == 0:
             # An opening event without a token may be left from a failure.
@@ -221,7 +233,9 @@
 
     def may_retry(self, step: StepRun, error: UpstreamError) -> bool:
         """Tells whether a failed step may be sent again."""
-        if step.time_left() <= 0 or step.attempts >= MAX_ATTEMPTS:
+        if step.time_left() <= 0:
+            return False
+        if step.fruitless >= MAX_ATTEMPTS and not step.gained():
             return False
         if step.crashes >= MAX_CRASHES:
             return False
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -14,6 +14,7 @@
     FakeSuspects,
     Script,
     drain,
+    sample_catalog,
     wait_for,
     words_of,
 )
@@ -277,6 +278,30 @@
     bench.check_settled()
 
 
+def test_stream_that_gains_tokens_goes_on_past_three_cuts():
+    """A request given up because three of many servers cut their answers."""
+    addresses = [f"127.0.0.1:{number}" for number in range(1, 7)]
+    scripts = [Script(cut_at=at) for at in (2, 4, 6, 7)]
+    bench = Bench(*scripts, catalog=sample_catalog(addresses))
+    bench.engine.dead.update(addresses)
+    bench.dispatcher.suspects = bench.sender.suspects = FakeSuspects()
+    bench.sender.suspects.running_on = True
+    answer = bench.ask(stream=True).unwrap()
+    assert words_of(drain(answer)) == WHOLE
+    assert len(bench.biller.bills) == 1
+    bench.check_settled()
+
+
+def test_servers_without_a_token_are_tried_three_times():
+    """Retries without end while no server makes progress."""
+    addresses = [f"127.0.0.1:{number}" for number in range(1, 7)]
+    scripts = [Script(error="timeout")] * 6
+    bench = Bench(*scripts, catalog=sample_catalog(addresses))
+    assert bench.ask().unwrap_err().code == "upstream_timeout"
+    assert len(bench.engine.calls) == 3
+    bench.check_settled()
+
+
 def test_cut_non_idempotent_stream_ends_with_an_error_event():
     """A second run of a non-idempotent request, or a false end marker."""
     bench = Bench(Script(cut_at=3))
