Build a bill in one place and remove an unused engine call

Cause: the settlement built the same bill twice, once for the open entry and once for the end; Engine.complete had no caller, since all calls to engines are streamed. Change: Settlement.entry builds both bills from a Use; complete is gone from the Protocol type and its adapter. Behaviour is the same and no test changed.

--- a/packages/amaranthlug/src/amaranthlug/protocol/settlement.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/settlement.py
@@ -68,17 +68,9 @@
         """Keeps what is billed if this node dies before the request ends."""
         if self.opened_bill is not None:
             return
-        request = self.request
-        self.opened_bill = BillEntry(
-            request_id=request.request_id,
-            organisation=request.organisation.name,
-            kind=request.kind.name,
-            version=str(version.id),
-            prompt_tokens=request.prompt_tokens,
-            output_tokens=0,
-            cost=version.cost(request.prompt_tokens, 0),
-            outcome="cut",
-        )
+        use = Use()
+        use.add(version, self.request.prompt_tokens, 0)
+        self.opened_bill = self.entry("cut", str(version.id), use)
         self.biller.open(self.opened_bill)
 
     def finish(
@@ -95,7 +87,7 @@
         self.metrics.incr(f"requests.{outcome}")
         try:
             if self.use.steps:
-                self.bill(outcome, version)
+                self.biller.record(self.entry(outcome, version, self.use))
             elif self.opened_bill is not None and self.may_have_run:
                 self.biller.record(self.opened_bill)
             elif self.opened_bill is not None:
@@ -103,21 +95,19 @@
         finally:
             self.release(answer, ran)
 
-    def bill(self, outcome: str, version: str) -> None:
-        """Records the one bill of the request."""
-        request, use = self.request, self.use
-        self.biller.record(
-            BillEntry(
-                request_id=request.request_id,
-                organisation=request.organisation.name,
-                kind=request.kind.name,
-                version=version,
-                prompt_tokens=use.prompt_tokens,
-                output_tokens=use.output_tokens,
-                cost=use.cost,
-                outcome=outcome,
-                steps=use.steps,
-            )
+    def entry(self, outcome: str, version: str, use: Use) -> BillEntry:
+        """Returns the bill of the request for what was used."""
+        request = self.request
+        return BillEntry(
+            request_id=request.request_id,
+            organisation=request.organisation.name,
+            kind=request.kind.name,
+            version=version,
+            prompt_tokens=use.prompt_tokens,
+            output_tokens=use.output_tokens,
+            cost=use.cost,
+            outcome=outcome,
+            steps=use.steps,
         )
 
     def release(self, answer: dict[str, Any] | None, ran: bool) -> None:
--- a/packages/amaranthlug/src/amaranthlug/protocol/upstream.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/upstream.py
@@ -113,12 +113,6 @@
         """Starts a streamed answer and returns it after the first byte."""
         ...
 
-    def complete(
-        self, address: str, call: EngineCall
-    ) -> Result[dict[str, Any], UpstreamError]:
-        """Runs a request and returns the whole answer."""
-        ...
-
     def cancel(self, address: str, request_id: str) -> None:
         """Stops a stream upstream; errors are logged only."""
         ...
--- a/packages/amaranthlug/src/amaranthlug/transport/engine_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/engine_client.py
@@ -252,15 +252,6 @@
         message = f"{address} answered {status}: {text}"
         return UpstreamError(address, reason, message, retry_after_s=wait)
 
-    def complete(
-        self, address: str, call: EngineCall
-    ) -> Result[dict[str, Any], UpstreamError]:
-        """Runs a request and returns the whole answer."""
-        body = msgspec.json.encode(call.body)
-        return self.json(
-            address, "POST", "/v1/chat/completions", body, call.first_byte_s
-        )
-
     def cancel(self, address: str, request_id: str) -> None:
         """Stops a stream upstream on another connection; errors are logged."""
         sent = self.pools.call(
