--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""What nodes share about routed requests through the store."""
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a routed request."""
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -0,0 +1,246 @@
+"""What plain and streamed exchanges with servers have in common."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import gevent
+
+from amaranthlug.coordination.platform import Metrics
+from amaranthlug.protocol.retry_budget import RetryBudget
+from amaranthlug.protocol.routing.messages import (
+    AnswerWriter,
+    FailureKind,
+    OwnAnswer,
+    ReplyHead,
+    RoutedRequest,
+    SentCall,
+    ServerPort,
+    UpstreamCall,
+    UpstreamFailure,
+    UpstreamReply,
+)
+from amaranthlug.protocol.routing.placement import Placement
+from amaranthlug.protocol.routing.request_log import RequestTrace
+from amaranthlug.protocol.routing.server_health import HealthBook
+from amaranthlug.state.routing.config import Route, RoutedService
+from amaranthlug.state.routing.servers import ServerEntry
+
+MIN_LEFT_S = 0.02
+"""Time below which a request is not sent any more, in seconds."""
+ANSWER_SLACK_S = 0.1
+"""Time after the limit in which a server's own answer may still arrive, in
+seconds; a final answer is due 0.25 s after the limit."""
+NO_SERVER_WAIT_S = 0.05
+"""Pause before looking again for a server, in seconds."""
+COME_BACK_S = (0.2, 0.7)
+"""Range of the time after which a refused caller may come back, in seconds."""
+
+Ended = tuple[str, int] | OwnAnswer
+"""Outcome and status, or the answer that the node gives itself."""
+
+
+@dataclasses.dataclass
+class ExchangeTools:
+    """What exchanges with servers need.
+
+    Attributes:
+        port: Sends requests.
+        placement: Chooses servers.
+        health: What was seen of servers.
+        budget: Retries of this node.
+        metrics: Counters and durations.
+        clock: Returns seconds, including time in which the VM was paused.
+        note_outcome: Takes service, version, route and whether the answer was
+            bad, for roll-outs.
+        note_session: Takes the session and the version that it runs on.
+        random: Source of random numbers.
+    """
+
+    port: ServerPort
+    placement: Placement
+    health: HealthBook
+    budget: RetryBudget
+    metrics: Metrics
+    clock: Callable[[], float]
+    note_outcome: Callable[[str, str, str, bool], None]
+    note_session: Callable[[str | None, str], None]
+    random: random.Random
+
+
+@dataclasses.dataclass
+class RequestContext:
+    """A request with what was decided about it.
+
+    Attributes:
+        request: The request.
+        route: Its route.
+        service: Its service, None if the configuration lacks it.
+        service_name: Name of the service.
+        organisation: Holder of the key.
+        priority: Rank; 0 is the most urgent.
+        keyed: The request needs its key.
+        candidates: Returns the servers that may get it now.
+        may_send: Tells whether it may still be sent.
+        trace: Collects decisions.
+    """
+
+    request: RoutedRequest
+    route: Route
+    service: RoutedService | None
+    service_name: str
+    organisation: str | None
+    priority: int
+    keyed: bool
+    candidates: Callable[[], list[ServerEntry]]
+    may_send: Callable[["RequestContext"], bool]
+    trace: RequestTrace
+
+
+class Exchange(Protocol):
+    """Sends a request until it is answered or given up."""
+
+    def run(self) -> Ended:
+        """Returns how the request ended."""
+        ...
+
+
+class BaseExchange:
+    """Sending rules that hold for all kinds."""
+
+    def __init__(
+        self, context: RequestContext, writer: AnswerWriter, tools: ExchangeTools
+    ):
+        """Prepares an exchange."""
+        self.context = context
+        self.request = context.request
+        self.route = context.route
+        self.writer = writer
+        self.tools = tools
+        self.tried: set[tuple[str, int]] = set()
+        self.sendings = 0
+        self.may_have_run = False
+        self.limit = min(
+            self.request.deadline,
+            self.request.arrived + self.route.timeout_ms / 1_000,
+        )
+
+    def left_s(self) -> float:
+        """Returns the time until the final answer is due, in seconds."""
+        return self.limit - self.tools.clock()
+
+    def pick(self) -> ServerEntry | None:
+        """Returns a server for the next sending, None if there is none."""
+        candidates = self.context.candidates()
+        subject = self.request.subject
+        return self.tools.placement.pick(candidates, subject, self.tried)
+
+    def may_repeat(self) -> bool:
+        """Tells whether the route allows one more sending, and pays for it."""
+        if self.sendings >= self.route.max_attempts:
+            return False
+        if self.may_have_run and not self.route.repeatable:
+            return False
+        if self.left_s() < MIN_LEFT_S:
+            return False
+        return self.sendings == 0 or self.tools.budget.take(
+            self.context.service_name
+        )
+
+    def open(self, server: ServerEntry, call: UpstreamCall) -> SentCall:
+        """Sends a request and counts it.
+
+        Raises:
+            UpstreamFailure: It was not sent, or the connection broke.
+        """
+        try:
+            sent = self.tools.port.send(call)
+        except UpstreamFailure as failure:
+            if failure.kind is not FailureKind.NOT_SENT:
+                self.sendings += 1
+            raise
+        self.sendings += 1
+        if self.sendings == 1:
+            self.tools.budget.earn(self.context.service_name)
+        return sent
+
+    def call_for(self, server: ServerEntry, **more: Any) -> UpstreamCall:
+        """Returns the call of a request to a server."""
+        return UpstreamCall(
+            request=self.request,
+            server=server,
+            organisation=self.context.organisation,
+            left_s=self.left_s(),
+            repeatable=self.route.repeatable,
+            **more,
+        )
+
+    def check_head(self, head: ReplyHead) -> None:
+        """Raises what a head says of a failed sending.
+
+        Raises:
+            UpstreamFailure: The request did not run, or the answer is not one
+                that the caller can use.
+        """
+        if head.not_run or head.status == 421:
+            raise UpstreamFailure(
+                FailureKind.NOT_RUN, f"refused with {head.status}"
+            )
+        if head.encoded:
+            raise UpstreamFailure(FailureKind.BROKEN, "encoded body")
+        if head.status < 300 and not head.sealed:
+            raise UpstreamFailure(FailureKind.BROKEN, "answer without a seal")
+
+    def note_attempt(
+        self, server: ServerEntry, began: float, outcome: str, **more: Any
+    ) -> None:
+        """Adds a sending to the trace."""
+        health = self.tools.health.of(server)
+        self.context.trace.attempts.append(
+            {
+                "server": server.server_id,
+                "version": server.version,
+                "zone": server.zone,
+                "ms": round((self.tools.clock() - began) * 1_000, 1),
+                "outcome": outcome,
+                "own": health.own,
+                "others": health.others,
+                "failures": round(health.failure_share, 2),
+                **more,
+            }
+        )
+
+    def note_result(self, server: ServerEntry, bad: bool) -> None:
+        """Counts an answer for health and roll-outs."""
+        self.tools.health.note_outcome(server, bad)
+        self.tools.note_outcome(
+            self.context.service_name, server.version, self.route.name, bad
+        )
+
+    def give_up(self, reason: str) -> OwnAnswer:
+        """Returns the final answer to a request that no server answered."""
+        if not self.may_have_run:
+            wait = self.tools.random.uniform(*COME_BACK_S)
+            return OwnAnswer(503, reason, "no server took the request", wait)
+        if self.left_s() <= 0:
+            return OwnAnswer(504, "timeout", "no server answered in time")
+        return OwnAnswer(502, "upstream_failed", "no server answered whole")
+
+    def wait_for_server(self) -> bool:
+        """Waits a moment for a server; False if it would be in vain."""
+        if self.left_s() < self.route.objective_ms / 1_000 / 2:
+            return False
+        waited = self.context.trace.waited_ms
+        if waited > self.route.objective_ms / 8:
+            return False
+        gevent.sleep(NO_SERVER_WAIT_S)
+        self.context.trace.waited_ms += NO_SERVER_WAIT_S * 1_000
+        return True
+
+
+def close_all(*things: SentCall | UpstreamReply | None) -> None:
+    """Closes what is still open."""
+    for thing in things:
+        if thing is not None:
+            thing.close()
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -0,0 +1,156 @@
+"""Requests with one whole answer."""
+
+from amaranthlug.protocol.routing.exchange import (
+    ANSWER_SLACK_S,
+    BaseExchange,
+    Ended,
+    close_all,
+)
+from amaranthlug.protocol.routing.messages import (
+    FailureKind,
+    ReplyHead,
+    SentCall,
+    UpstreamFailure,
+    UpstreamReply,
+)
+from amaranthlug.state.routing.config import RouteKind
+from amaranthlug.state.routing.servers import ServerEntry
+
+MAX_ANSWER_BYTES = 8 << 20
+"""Largest answer that is kept until it is whole, in bytes."""
+SECOND_SERVER_S = 0.35
+"""Least wait for a server before another one is asked, in seconds; ten times
+the usual work of the plain services."""
+PACE_FACTOR = 6.0
+"""Wait for a server against its usual time before another one is asked."""
+SERVER_ERROR = 500
+"""Least status of a server's failure."""
+
+
+class PlainExchange(BaseExchange):
+    """Sends a request until a server answers whole."""
+
+    def run(self) -> Ended:
+        """Returns how the request ended."""
+        failed: tuple[ReplyHead, bytes] | None = None
+        while self.may_repeat():
+            server = self.pick()
+            if server is None:
+                if self.sendings == 0 and self.wait_for_server():
+                    continue
+                break
+            if not self.context.may_send(self.context):
+                break
+            self.tried.add(server.life)
+            try:
+                head, body = self.ask(server)
+            except UpstreamFailure as failure:
+                self.may_have_run = self.may_have_run or failure.may_have_run
+                continue
+            if head.status < SERVER_ERROR:
+                return self.deliver(head, body)
+            self.may_have_run = True
+            failed = head, body
+            if not self.route.repeatable:
+                break
+        if failed is not None:
+            # The server's own failure tells more than one of this node.
+            return self.deliver(*failed)
+        return self.give_up("no_server")
+
+    def deliver(self, head: ReplyHead, body: bytes) -> Ended:
+        """Sends a server's answer to the caller."""
+        trace = self.context.trace
+        took_s = self.tools.clock() - self.request.arrived
+        trace.first_event_ms = round(took_s * 1_000, 1)
+        self.writer.whole(head, body)
+        outcome = "answered" if head.status < SERVER_ERROR else "server_error"
+        return outcome, head.status
+
+    def ask(self, server: ServerEntry) -> tuple[ReplyHead, bytes]:
+        """Asks one server.
+
+        Raises:
+            UpstreamFailure: It gave no whole answer.
+        """
+        tools = self.tools
+        began = tools.clock()
+        sent: SentCall | None = None
+        reply: UpstreamReply | None = None
+        outcome = "caller_left"
+        tools.health.began(server)
+        try:
+            sent = self.open(server, self.call_for(server))
+            reply = self.wait(sent, self.patience_s(server))
+            body = self.read(reply)
+            outcome = str(reply.head.status)
+            self.note_answer(server, reply.head, began)
+            return reply.head, body
+        except UpstreamFailure as failure:
+            outcome = failure.kind.value
+            self.note_failure(server, failure)
+            raise
+        finally:
+            close_all(reply or sent)
+            tools.health.ended(server)
+            self.note_attempt(server, began, outcome)
+
+    def patience_s(self, server: ServerEntry) -> float:
+        """Returns how long to wait for a server, in seconds."""
+        left = self.left_s() + ANSWER_SLACK_S
+        if self.route.kind is not RouteKind.IDEMPOTENT:
+            return left
+        if self.sendings >= self.route.max_attempts:
+            return left
+        usual = self.tools.health.of(server).pace_ms or 0.0
+        return min(left, max(SECOND_SERVER_S, PACE_FACTOR * usual / 1_000))
+
+    def wait(self, sent: SentCall, patience_s: float) -> UpstreamReply:
+        """Waits for the head of an answer."""
+        try:
+            reply = sent.reply(patience_s)
+        except TimeoutError as error:
+            raise UpstreamFailure(
+                FailureKind.TIMEOUT, "no answer in time"
+            ) from error
+        self.check_head(reply.head)
+        return reply
+
+    def read(self, reply: UpstreamReply) -> bytes:
+        """Reads a whole body."""
+        pieces: list[bytes] = []
+        size = 0
+        while True:
+            try:
+                piece = reply.read(self.left_s() + ANSWER_SLACK_S)
+            except TimeoutError as error:
+                raise UpstreamFailure(
+                    FailureKind.TIMEOUT, "the answer did not end in time"
+                ) from error
+            if piece is None:
+                return b"".join(pieces)
+            size += len(piece)
+            if size > MAX_ANSWER_BYTES:
+                raise UpstreamFailure(FailureKind.BROKEN, "answer too large")
+            pieces.append(piece)
+
+    def note_answer(
+        self, server: ServerEntry, head: ReplyHead, began: float
+    ) -> None:
+        """Takes load, pace and outcome from an answer."""
+        health = self.tools.health
+        took_ms = (self.tools.clock() - began) * 1_000
+        health.note_byte(server)
+        health.note_load(server, head.load)
+        slow = took_ms > max(self.route.objective_ms, 1)
+        self.note_result(server, head.status >= SERVER_ERROR or slow)
+        health.note_pace(server, took_ms)
+
+    def note_failure(
+        self, server: ServerEntry, failure: UpstreamFailure
+    ) -> None:
+        """Takes a failed sending into the server's health."""
+        if failure.kind is FailureKind.NOT_RUN:
+            self.tools.health.note_outcome(server, True)
+        else:
+            self.note_result(server, True)
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/request_log.py
@@ -0,0 +1,57 @@
+"""What a request met on its way, written as one line at its end."""
+
+import dataclasses
+from typing import Any, Protocol
+
+from amaranthlug.protocol.routing.messages import RoutedRequest
+
+
+class DecisionLog(Protocol):
+    """Takes structured lines; it may leave out lines of served requests."""
+
+    def request(self, served: bool, fields: dict[str, Any]) -> None:
+        """Writes the line of a request."""
+        ...
+
+
+@dataclasses.dataclass
+class RequestTrace:
+    """Collects the decisions that a request met.
+
+    Attributes:
+        request: The request.
+        route: Name of its route.
+        organisation: Holder of its key.
+        config_version: Version of the configuration that decided.
+        config_age_s: Age of that configuration, in seconds.
+        attempts: One entry for each sending.
+        first_event_ms: Time to the first event or answer, in milliseconds.
+        waited_ms: Time spent waiting for a server, in milliseconds.
+    """
+
+    request: RoutedRequest
+    route: str = ""
+    organisation: str | None = None
+    config_version: int = -1
+    config_age_s: float = -1.0
+    attempts: list[dict[str, Any]] = dataclasses.field(default_factory=list)
+    first_event_ms: float | None = None
+    waited_ms: float = 0.0
+
+    def fields(self, outcome: str, status: int, now: float) -> dict[str, Any]:
+        """Returns the fields of the line."""
+        return {
+            "event": "request",
+            "request_id": self.request.request_id,
+            "outcome": outcome,
+            "status": status,
+            "route": self.route,
+            "organisation": self.organisation,
+            "config_version": self.config_version,
+            "config_age_s": round(self.config_age_s, 3),
+            "took_ms": round((now - self.request.arrived) * 1_000, 1),
+            "waited_ms": round(self.waited_ms, 1),
+            "first_ms": self.first_event_ms,
+            "left_ms": round((self.request.deadline - now) * 1_000),
+            "attempts": self.attempts,
+        }
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/session_versions.py
@@ -0,0 +1,60 @@
+"""Keeps the requests of a session on one version during a roll-out."""
+
+import collections
+from collections.abc import Callable
+
+import xxhash
+
+from amaranthlug.coordination.routing.rollout_tracker import VersionSplit
+from amaranthlug.state.routing.servers import ServerEntry
+
+MAX_SESSIONS = 20_000
+"""Sessions remembered; the oldest is forgotten first."""
+HASH_RANGE = float(1 << 32)
+
+
+class SessionVersions:
+    """Remembers on which version a session's last request ran."""
+
+    def __init__(self, clock: Callable[[], float], session_s: float):
+        """Creates an empty table; a session ends after `session_s` idle."""
+        self.clock = clock
+        self.session_s = session_s
+        self.seen: collections.OrderedDict[str, tuple[str, float]] = (
+            collections.OrderedDict()
+        )
+
+    def servers_for(
+        self, split: VersionSplit, session: str | None, request_id: str
+    ) -> list[ServerEntry]:
+        """Returns the servers of the version that a request should use."""
+        if not split.new or split.share <= 0.0:
+            return split.old
+        if not split.old or split.share >= 1.0:
+            return split.new
+        version = self.version_of(session)
+        if version is not None:
+            if any(s.version == version for s in split.new):
+                return split.new
+            if split.first_half:
+                return split.old
+        drawn = xxhash.xxh32_intdigest((session or request_id).encode()) / HASH_RANGE
+        return split.new if drawn < split.share else split.old
+
+    def version_of(self, session: str | None) -> str | None:
+        """Returns the version of a session that has not ended."""
+        if session is None:
+            return None
+        known = self.seen.get(session)
+        if known is None or self.clock() - known[1] > self.session_s:
+            return None
+        return known[0]
+
+    def note(self, session: str | None, version: str) -> None:
+        """Remembers the version on which a session's request runs."""
+        if session is None:
+            return
+        self.seen[session] = (version, self.clock())
+        self.seen.move_to_end(session)
+        if len(self.seen) > MAX_SESSIONS:
+            self.seen.popitem(last=False)
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -0,0 +1,227 @@
+"""Requests that are answered by a stream of events."""
+
+from amaranthlug.protocol.routing.event_splitter import EventSplitter
+from amaranthlug.protocol.routing.exchange import (
+    ANSWER_SLACK_S,
+    BaseExchange,
+    Ended,
+    close_all,
+)
+from amaranthlug.protocol.routing.messages import (
+    AnswerWriter,
+    FailureKind,
+    OwnAnswer,
+    ReplyHead,
+    SentCall,
+    UpstreamFailure,
+    UpstreamReply,
+)
+from amaranthlug.protocol.routing.exchange import ExchangeTools, RequestContext
+from amaranthlug.state.routing.servers import ServerEntry
+
+QUIET_S = 1.0
+"""Time without a byte on any connection to a server after which it counts as
+silent, in seconds; engines send events several times a second."""
+STALL_S = 1.5
+"""Longest pause inside a stream before it goes on at another server, in
+seconds; callers give up after 2 s and more."""
+CHECK_S = 0.25
+"""Period in which a waiting stream checks its server, in seconds."""
+MAX_URGENCY = 9
+"""Lowest urgency that engines know."""
+
+
+class StreamExchange(BaseExchange):
+    """Relays a stream, going on at another server when one breaks."""
+
+    def __init__(
+        self, context: RequestContext, writer: AnswerWriter, tools: ExchangeTools
+    ):
+        """Prepares an exchange."""
+        super().__init__(context, writer, tools)
+        self.splitter = EventSplitter(self.request.last_event)
+        self.begun = False
+        self.model = self.pick_model()
+
+    def pick_model(self) -> str | None:
+        """Returns the model to ask for, None as the caller says."""
+        return self.route.models[-1] if self.route.models else None
+
+    def run(self) -> Ended:
+        """Returns how the request ended."""
+        while self.may_repeat():
+            server = self.pick()
+            if server is None:
+                if self.sendings == 0 and self.wait_for_server():
+                    continue
+                break
+            if not self.context.may_send(self.context):
+                break
+            self.tried.add(server.life)
+            try:
+                head = self.stream_from(server)
+            except UpstreamFailure as failure:
+                self.may_have_run = self.may_have_run or failure.may_have_run
+                continue
+            return ("completed" if head.status < 300 else "answered"), (
+                head.status
+            )
+        if self.begun:
+            # The caller sees the connection end without the last chunk.
+            return "stream_cut", 200
+        return self.give_up("no_server")
+
+    def stream_from(self, server: ServerEntry) -> ReplyHead:
+        """Relays what one server sends until the stream's end.
+
+        Raises:
+            UpstreamFailure: The stream broke or did not begin.
+        """
+        tools = self.tools
+        began = tools.clock()
+        sent: SentCall | None = None
+        reply: UpstreamReply | None = None
+        outcome = "caller_left"
+        events = self.splitter.events
+        tools.health.began(server)
+        tools.note_session(self.request.session, server.version)
+        try:
+            call = self.call_for(
+                server,
+                model=self.model,
+                urgency=min(MAX_URGENCY, 2 + 2 * self.context.priority),
+                last_event=self.splitter.last_event,
+            )
+            self.splitter.tail = b""
+            sent = self.open(server, call)
+            reply = self.wait_head(server, sent)
+            self.check_head(reply.head)
+            if reply.head.status >= 300:
+                return self.relay_whole(server, reply)
+            self.relay(server, reply, began)
+            outcome = "completed"
+            self.note_result(server, bad=self.is_late(began))
+            return reply.head
+        except UpstreamFailure as failure:
+            outcome = failure.kind.value
+            if failure.kind is FailureKind.NOT_RUN:
+                tools.health.note_outcome(server, True)
+            else:
+                self.note_result(server, bad=True)
+            raise
+        finally:
+            close_all(reply or sent)
+            tools.health.ended(server)
+            self.note_attempt(
+                server,
+                began,
+                outcome,
+                model=self.model,
+                confidence=reply.head.confidence if reply else None,
+                events=self.splitter.events - events,
+            )
+
+    def is_late(self, began: float) -> bool:
+        """Tells whether the first event took several times the objective."""
+        return False
+
+    def relay_whole(
+        self, server: ServerEntry, reply: UpstreamReply
+    ) -> ReplyHead:
+        """Delivers a failure of a server, or raises it to be repeated."""
+        if reply.head.status >= 500:
+            raise UpstreamFailure(
+                FailureKind.FAILED, f"server answered {reply.head.status}"
+            )
+        body = b""
+        while (piece := self.next_piece(server, reply)) is not None:
+            body += piece
+        if self.begun:
+            raise UpstreamFailure(FailureKind.FAILED, "refused to go on")
+        self.writer.whole(reply.head, body)
+        return reply.head
+
+    def wait_head(self, server: ServerEntry, sent: SentCall) -> UpstreamReply:
+        """Waits for the first event while the server is alive."""
+        tools = self.tools
+        began = tools.clock()
+        objective_s = self.route.objective_ms / 1_000
+        while True:
+            wait = min(CHECK_S, self.left_s() + ANSWER_SLACK_S)
+            try:
+                reply = sent.reply(max(wait, 0.001))
+            except TimeoutError:
+                waited = tools.clock() - began
+                self.check_time()
+                if waited > objective_s and self.is_quiet(server, began):
+                    raise UpstreamFailure(
+                        FailureKind.TIMEOUT, "the server is silent"
+                    ) from None
+                continue
+            tools.health.note_byte(server)
+            tools.health.note_load(server, reply.head.load)
+            return reply
+
+    def is_quiet(self, server: ServerEntry, since: float) -> bool:
+        """Tells whether a server sent nothing at all for a while."""
+        heard = max(self.tools.health.of(server).last_byte_at, since)
+        return self.tools.clock() - heard > QUIET_S
+
+    def check_time(self) -> None:
+        """Ends an exchange whose time is over.
+
+        Raises:
+            UpstreamFailure: The time is over.
+        """
+        if self.left_s() + ANSWER_SLACK_S <= 0:
+            raise UpstreamFailure(FailureKind.TIMEOUT, "the time is over")
+
+    def next_piece(
+        self, server: ServerEntry, reply: UpstreamReply
+    ) -> bytes | None:
+        """Returns more of a body while the server is alive."""
+        began = self.tools.clock()
+        while True:
+            wait = min(CHECK_S, self.left_s() + ANSWER_SLACK_S)
+            try:
+                piece = reply.read(max(wait, 0.001))
+            except TimeoutError:
+                self.check_time()
+                if self.tools.clock() - began > STALL_S:
+                    raise UpstreamFailure(
+                        FailureKind.TIMEOUT, "the stream stalled"
+                    ) from None
+                continue
+            self.tools.health.note_byte(server)
+            return piece
+
+    def relay(
+        self, server: ServerEntry, reply: UpstreamReply, began: float
+    ) -> None:
+        """Sends whole events to the caller as they come."""
+        while (piece := self.next_piece(server, reply)) is not None:
+            try:
+                events = self.splitter.feed(piece)
+            except ValueError as error:
+                raise UpstreamFailure(FailureKind.BROKEN, str(error)) from error
+            if not events:
+                continue
+            if self.begun:
+                self.writer.piece(events)
+            else:
+                self.begin(reply, events)
+        if self.splitter.tail:
+            raise UpstreamFailure(
+                FailureKind.BROKEN, "the stream ended inside an event"
+            )
+        if not self.begun:
+            self.begin(reply, b"")
+        self.writer.end()
+
+    def begin(self, reply: UpstreamReply, events: bytes) -> None:
+        """Sends the head with the first events."""
+        self.begun = True
+        took_s = self.tools.clock() - self.request.arrived
+        self.context.trace.first_event_ms = round(took_s * 1_000, 1)
+        self.tools.metrics.timing("first_event_ms", took_s * 1_000)
+        self.writer.begin(reply.head, events)
--- a/packages/amaranthlug/src/amaranthlug/protocol/settings_file.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/settings_file.py
@@ -1,7 +1,7 @@
 """Reads a node's YAML settings file over the commented defaults."""
 
 import pathlib
-from typing import Any
+from typing import Any, TypeVar
 
 import pydantic
 import yaml
@@ -14,24 +14,25 @@
     """A settings file is wrong; the message names file, key and remedy."""
 
 
-class SettingsModel(pydantic.RootModel[NodeSettings]):
-    """Validates the file's content as `NodeSettings`."""
+Settings = TypeVar("Settings")
 
 
-def load_settings(path: pathlib.Path) -> Result[NodeSettings, SettingsError]:
-    """Reads and validates a settings file."""
+def load_settings(
+    path: pathlib.Path, kind: type[Settings] = NodeSettings
+) -> Result[Settings, SettingsError]:
+    """Reads and validates a settings file of the data class `kind`."""
     try:
         content: Any = yaml.safe_load(path.read_text())
     except (OSError, yaml.YAMLError) as error:
         return Err(SettingsError(f"{path}: cannot be read: {error}"))
-    return parse_settings(str(path), content)
+    return parse_settings(str(path), content, kind)
 
 
 def parse_settings(
-    source: str, content: Any
-) -> Result[NodeSettings, SettingsError]:
+    source: str, content: Any, kind: type[Settings] = NodeSettings
+) -> Result[Settings, SettingsError]:
     """Validates settings that were read from `source`."""
-    unknown = unknown_key(content, NodeSettings)
+    unknown = unknown_key(content, kind)
     if unknown:
         return Err(
             SettingsError(
@@ -40,7 +41,7 @@
             )
         )
     try:
-        return Ok(SettingsModel.model_validate(content).root)
+        return Ok(pydantic.TypeAdapter(kind).validate_python(content))
     except pydantic.ValidationError as error:
         first = error.errors()[0]
         key = ".".join(str(part) for part in first["loc"])
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -0,0 +1,327 @@
+"""A node that answers routed requests: parts, start, stop, status."""
+
+import dataclasses
+import logging
+import random
+import uuid
+from typing import Protocol
+
+import gevent
+from gevent.event import Event
+
+from amaranthlug.coordination.boot_clock import boot_seconds
+from amaranthlug.coordination.routing.config_source import (
+    ConfigSource,
+    OperatorDecoder,
+)
+from amaranthlug.coordination.routing.entry_choice import choose_entries
+from amaranthlug.coordination.routing.keyed_store import KeyedStore
+from amaranthlug.coordination.routing.node_directory import NodeDirectory
+from amaranthlug.coordination.routing.rollout_controller import (
+    RolloutController,
+    StatusEncoder,
+)
+from amaranthlug.coordination.routing.rollout_tracker import (
+    RolloutTracker,
+    StatusDecoder,
+)
+from amaranthlug.coordination.routing.server_directory import (
+    ServerDecoder,
+    ServerDirectory,
+)
+from amaranthlug.coordination.routing.topic_follower import TopicFollower
+from amaranthlug.coordination.timers import TimerService
+from amaranthlug.protocol.retry_budget import RetryBudget
+from amaranthlug.protocol.routing.exchange import ExchangeTools
+from amaranthlug.protocol.routing.placement import Placement
+from amaranthlug.protocol.routing.request_log import DecisionLog
+from amaranthlug.protocol.routing.router import Router
+from amaranthlug.protocol.routing.server_health import HealthBook
+from amaranthlug.protocol.routing.session_versions import SessionVersions
+from amaranthlug.state.routing.config import CallerLimits
+from amaranthlug.state.routing.nodes import NodeReport
+from amaranthlug.state.routing.settings import RoutedNodeSettings
+from amaranthlug.transport.routing.text_metrics import TextMetrics
+from amaranthlug.transport.routing.upstreams import HeaderCodec, Upstreams
+
+CONFIG_WAIT_S = 1.2
+"""Longest wait of one read of the configuration, in seconds; two reads and a
+reconnection fit into the time after which a withdrawn key must not work."""
+SERVERS_WAIT_S = 2.0
+"""Longest wait of one read of server entries, in seconds."""
+SERVERS_PAUSE_S = 0.2
+"""Pause between reads of server entries, in seconds: servers write theirs
+about once a second each, and nothing new may go to a leaving one after 2 s."""
+STATUS_WAIT_S = 5.0
+"""Longest wait of one read of the state of roll-outs, in seconds."""
+REPORT_S = 1.0
+"""Period of this node's report, in seconds."""
+CONTROL_S = 0.3
+"""Period in which steps of roll-outs are considered, in seconds."""
+TIDY_S = 1.0
+"""Period in which what was learnt of departed servers is dropped."""
+KEY_MARGIN_S = 0.4
+"""Time by which keys are given up before the bound, in seconds; covers the
+way from the check to the server."""
+ENTRY_TTL_S = 1.5
+"""Time for which callers may keep addresses, in seconds."""
+LINGER_S = 3.2
+"""Time after a signal to stop in which new requests are still taken, in
+seconds: callers may keep an address for twice its time to live."""
+KILL_MARGIN_S = 0.4
+"""Time before the kill at which the process ends by itself, in seconds."""
+CHECK_S = 0.1
+"""Period of checks during a stop, in seconds."""
+BUDGET_USE = 0.8
+"""Part of the fleet's retry budget that nodes use; the rest covers uneven
+load, since shares follow the number of nodes."""
+
+log = logging.getLogger(__name__)
+
+
+class RecordCodec(
+    OperatorDecoder, ServerDecoder, StatusDecoder, StatusEncoder, Protocol
+):
+    """Translates all records of the store."""
+
+
+@dataclasses.dataclass(frozen=True)
+class TopicNames:
+    """Names of the topics that others write or read."""
+
+    operator: str
+    servers: str
+    status: str
+
+
+class RoutedNode:
+    """One node; the border calls `router`, `is_ready` and `entries`."""
+
+    def __init__(
+        self,
+        settings: RoutedNodeSettings,
+        store: KeyedStore,
+        codec: RecordCodec,
+        topics: TopicNames,
+        headers: HeaderCodec,
+        decisions: DecisionLog,
+    ):
+        """Wires all parts; `start` begins to follow the store."""
+        self.settings = settings
+        self.metrics = TextMetrics()
+        self.timers = TimerService(settings.seed)
+        self.random = random.Random(settings.seed)
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.leaving = False
+        self.running = 0
+        self.asked_to_stop = Event()
+        self.config = ConfigSource(codec)
+        self.config_follower = TopicFollower(
+            store, topics.operator, self.config, CONFIG_WAIT_S
+        )
+        self.servers = ServerDirectory(
+            codec, lambda: self.server_follower.regained_at
+        )
+        self.server_follower = TopicFollower(
+            store, topics.servers, self.servers, SERVERS_WAIT_S, SERVERS_PAUSE_S
+        )
+        self.nodes = NodeDirectory(store, self.report)
+        self.rollouts = RolloutTracker(
+            codec,
+            lambda: self.config.orders,
+            lambda: self.nodes.others(settings.name),
+            self.nodes.follower.age_s,
+        )
+        self.status_follower = TopicFollower(
+            store, topics.status, self.rollouts, STATUS_WAIT_S
+        )
+        self.controller = RolloutController(
+            store,
+            self.status_follower,
+            self.rollouts,
+            codec,
+            settings.name,
+            self.nodes.live,
+            self.running_elsewhere,
+        )
+        self.health = HealthBook(boot_seconds)
+        self.upstreams = Upstreams(headers)
+        self.budget = RetryBudget(seed=settings.seed)
+        self.sessions = SessionVersions(
+            boot_seconds, settings.bounds.session_s
+        )
+        tools = ExchangeTools(
+            port=self.upstreams,
+            placement=Placement(
+                settings.zone,
+                self.health,
+                self.servers.started_at,
+                settings.seed,
+            ),
+            health=self.health,
+            budget=self.budget,
+            metrics=self.metrics,
+            clock=boot_seconds,
+            note_outcome=self.rollouts.note,
+            note_session=self.sessions.note,
+            random=self.random,
+        )
+        bounds = settings.bounds
+        self.router = Router(
+            self.config,
+            self.config_follower.age_s,
+            bounds.key_withdrawal_s - KEY_MARGIN_S,
+            self.servers,
+            self.rollouts,
+            self.sessions,
+            tools,
+            decisions,
+            self.metrics,
+            settings.seed,
+        )
+
+    def start(self) -> None:
+        """Follows the store and begins the periodic tasks."""
+        self.share_budget()
+        for follower in (
+            self.config_follower,
+            self.server_follower,
+            self.status_follower,
+        ):
+            follower.start()
+        self.timers.every("report", REPORT_S, self.exchange)
+        self.timers.every("rollouts", CONTROL_S, self.control)
+        self.timers.every("tidy", TIDY_S, self.tidy)
+        gevent.spawn(self.exchange)
+        log.info(
+            "node %s starts",
+            self.settings.name,
+            extra={"event": "start", "incarnation": self.incarnation},
+        )
+
+    def exchange(self) -> None:
+        """Publishes this node's report and reads those of the others."""
+        self.nodes.exchange()
+        self.share_budget()
+
+    def control(self) -> None:
+        """Considers the next steps of roll-outs."""
+        if self.controller.is_busy() and self.is_ready():
+            self.controller.step()
+
+    def tidy(self) -> None:
+        """Drops what was learnt of servers that are gone."""
+        listed = [known.entry for known in self.servers.known.values()]
+        self.health.keep_only(listed)
+        self.upstreams.drop({entry.life for entry in listed})
+
+    def share_budget(self) -> None:
+        """Takes this node's part of the fleet's retry budget."""
+        bounds = self.settings.bounds
+        nodes = max(1, len(self.nodes.live()))
+        self.budget.share = bounds.retry_share * BUDGET_USE
+        self.budget.burst = max(
+            1.0, bounds.retry_allowance * BUDGET_USE / nodes
+        )
+
+    def is_ready(self) -> bool:
+        """Tells whether callers may be sent here."""
+        return (
+            not self.leaving
+            and self.config.config is not None
+            and self.server_follower.position is not None
+            and self.status_follower.position is not None
+        )
+
+    def entries(self, zone: str, region: str) -> list[str]:
+        """Returns addresses for a caller in `zone`."""
+        nodes = self.nodes.others(self.settings.name)
+        if self.is_ready():
+            nodes = [*nodes, self.report()]
+        return choose_entries(nodes, zone, region, self.random)
+
+    def limits(self) -> CallerLimits:
+        """Returns the bounds on what callers send."""
+        config = self.config.config
+        return config.limits if config is not None else CallerLimits()
+
+    def report(self) -> NodeReport:
+        """Returns what this node tells the others."""
+        settings = self.settings
+        return NodeReport(
+            node=settings.name,
+            incarnation=self.incarnation,
+            address=settings.addresses.callers,
+            zone=settings.zone,
+            region=settings.region,
+            serving=self.is_ready(),
+            evidence=self.rollouts.own_evidence(),
+            running=self.running_by_version(),
+            suspects={},
+        )
+
+    def running_by_version(self) -> dict[str, dict[str, int]]:
+        """Returns service -> version -> requests in flight."""
+        running: dict[str, dict[str, int]] = {}
+        for known in self.servers.known.values():
+            own = self.health.of(known.entry).own
+            if own:
+                versions = running.setdefault(known.entry.service, {})
+                version = known.entry.version
+                versions[version] = versions.get(version, 0) + own
+        return running
+
+    def running_elsewhere(self, service: str, version: str) -> int:
+        """Returns requests in flight on other versions of a service."""
+        running = self.running_by_version().get(service, {})
+        return sum(n for v, n in running.items() if v != version)
+
+    def take_settings(self, settings: RoutedNodeSettings) -> None:
+        """Takes changed settings; addresses hold until the next start."""
+        if settings.addresses != self.settings.addresses:
+            log.warning(
+                "changed addresses are in force after the next start",
+                extra={"event": "reload", "outcome": "partly"},
+            )
+        self.settings = dataclasses.replace(
+            settings, addresses=self.settings.addresses
+        )
+        bounds = settings.bounds
+        self.router.key_age_limit_s = bounds.key_withdrawal_s - KEY_MARGIN_S
+        self.sessions.session_s = bounds.session_s
+        self.share_budget()
+        logging.getLogger().setLevel(settings.log_level)
+        log.info(
+            "settings reloaded", extra={"event": "reload", "outcome": "taken"}
+        )
+
+    def stop(self, requests_running: "RunningCount", stop_accepting) -> None:
+        """Leaves without cutting a request that ends within the grace."""
+        began = boot_seconds()
+        self.leaving = True
+        log.info("node %s leaves", self.settings.name, extra={"event": "stop"})
+        gevent.spawn(self.nodes.publish)
+        grace = self.settings.bounds.stop_grace_s - KILL_MARGIN_S
+        accepting = True
+        while boot_seconds() - began < grace:
+            gevent.sleep(CHECK_S)
+            if accepting and boot_seconds() - began > LINGER_S:
+                accepting = False
+                stop_accepting()
+            if not accepting and not requests_running():
+                break
+        with gevent.Timeout(KILL_MARGIN_S / 2, False):
+            self.nodes.withdraw()
+        log.info(
+            "node %s stopped",
+            self.settings.name,
+            extra={"event": "stopped", "running": requests_running()},
+        )
+
+
+class RunningCount(Protocol):
+    """Tells how many requests are being answered."""
+
+    def __call__(self) -> int:
+        """Returns the number."""
+        ...
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Data of routed requests: configuration, servers, nodes, roll-outs."""
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/config.py
@@ -0,0 +1,149 @@
+"""Routes, services and keys that are in force."""
+
+import dataclasses
+import enum
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Requests of one host and path prefix.
+
+    Attributes:
+        name: Name in logs.
+        host: Host name without a port, in lower case.
+        prefix: Begins and ends with a slash.
+        kind: What may be repeated.
+        services: Services with their weights; one is drawn per request.
+        timeout_ms: Longest time until the final answer, in milliseconds.
+        objective_ms: Latency objective, in milliseconds.
+        max_attempts: Servers to which one request may be sent.
+        priority: Rank; 0 is the most urgent.
+        anonymous: Requests need no key.
+        resumable: A stream may go on at another server.
+        gap_ms: Longest pause between events of a stream that is on time, in
+            milliseconds.
+        models: Models that may answer, smallest first; empty if the caller
+            names the model.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    services: tuple[tuple[str, float], ...]
+    timeout_ms: int = 30_000
+    objective_ms: int = 1_000
+    max_attempts: int = 1
+    priority: int = 0
+    anonymous: bool = False
+    resumable: bool = False
+    gap_ms: int | None = None
+    models: tuple[str, ...] = ()
+
+    @property
+    def repeatable(self) -> bool:
+        """Tells whether a request may run more than once."""
+        if self.kind is RouteKind.STREAMING:
+            return self.resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+@dataclasses.dataclass(frozen=True)
+class Engine:
+    """Model engines behind a service.
+
+    Attributes:
+        slots: Requests that one engine runs at once.
+        memory_tokens: Tokens that one engine's KV cache holds.
+        model_costs: Model -> cost per 1,000 tokens generated.
+    """
+
+    slots: int
+    memory_tokens: int
+    model_costs: dict[str, float]
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutedService:
+    """A group of interchangeable servers.
+
+    Attributes:
+        name: Name in server entries.
+        max_connections: Connections that one server accepts from all nodes.
+        engine: Set if the servers are model engines.
+    """
+
+    name: str
+    max_connections: int
+    engine: Engine | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerLimits:
+    """Bounds on what callers send.
+
+    Attributes:
+        header_bytes: Largest request head, in bytes.
+        body_bytes: Largest body, in bytes.
+        header_timeout_s: Longest time to send a head, in seconds.
+        idle_timeout_s: Longest idle time of a connection, in seconds.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyHolder:
+    """The organisation that holds a key; `priority` overrides its routes'."""
+
+    organisation: str
+    priority: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutingConfig:
+    """One version of the routing configuration."""
+
+    version: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, RoutedService]
+    limits: CallerLimits
+    keys: dict[str, KeyHolder] | None
+
+    @classmethod
+    def build(
+        cls,
+        version: int,
+        routes: list[Route],
+        services: list[RoutedService],
+        limits: CallerLimits,
+        keys: dict[str, KeyHolder] | None,
+    ) -> "RoutingConfig":
+        """Indexes routes by host, longest prefix first; `keys` None: none asked."""
+        by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            by_host.setdefault(route.host, []).append(route)
+        indexed = {
+            host: tuple(sorted(found, key=lambda r: -len(r.prefix)))
+            for host, found in by_host.items()
+        }
+        return cls(version, indexed, {s.name: s for s in services}, limits, keys)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of `path`, if any."""
+        bare = host.rsplit(":", 1)[0].lower() if ":" in host else host.lower()
+        for route in self.routes.get(bare, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets of routed requests."""
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
@@ -0,0 +1,51 @@
+"""Socket options that make a silent peer fail within seconds."""
+
+import socket
+
+from gevent import socket as gsocket
+
+KEEPALIVE_IDLE_S = 2
+"""Idle time before the first keep-alive probe, in seconds."""
+KEEPALIVE_INTERVAL_S = 1
+"""Time between keep-alive probes, in seconds."""
+KEEPALIVE_PROBES = 3
+"""Unanswered probes that end a connection."""
+USER_TIMEOUT_MS = 3_000
+"""Time after which unacknowledged bytes end a connection, in milliseconds."""
+CONNECT_TIMEOUT_S = 0.5
+"""Longest wait for a new connection inside a region, in seconds: over 100
+round trips; a refused one fails at once."""
+
+
+def harden(sock: socket.socket) -> None:
+    """Sets the options on a connected TCP socket."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns host and port of `host:port`.
+
+    Raises:
+        ValueError: The address has no port.
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def connect(address: str, timeout_s: float) -> socket.socket:
+    """Opens a connection with the options set.
+
+    Raises:
+        OSError: It was refused or not established in time.
+    """
+    sock = gsocket.create_connection(split_address(address), timeout_s)
+    harden(sock)
+    return sock
