--- a/packages/amaranthlug/src/amaranthlug/protocol/retry_budget.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/retry_budget.py
@@ -41,13 +41,19 @@
 
     def take(self, address: str) -> bool:
         """Spends a retry towards an upstream; False when none is left."""
-        left = self.upstreams.get(address, self.burst)
-        if self.total < 1 or left < 1:
+        if not self.has(address):
             return False
+        left = self.upstreams.get(address, self.burst)
         self.total -= 1
         self.keep(address, left - 1)
         return True
 
+    def has(self, address: str) -> bool:
+        """Tells whether `take` would succeed."""
+        return self.total >= 1 and (
+            self.upstreams.get(address, self.burst) >= 1
+        )
+
     def keep(self, address: str, left: float) -> None:
         """Remembers what is left for an upstream."""
         self.upstreams[address] = left
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -21,6 +21,7 @@
     UpstreamFailure,
     UpstreamReply,
 )
+from amaranthlug.protocol.routing.model_choice import ModelChoice
 from amaranthlug.protocol.routing.placement import Placement
 from amaranthlug.protocol.routing.request_log import RequestTrace
 from amaranthlug.protocol.routing.server_health import HealthBook
@@ -50,6 +51,7 @@
         placement: Chooses servers.
         health: What was seen of servers.
         budget: Retries of this node.
+        models: Chooses models.
         metrics: Counters and durations.
         clock: Returns seconds, including time in which the VM was paused.
         note_outcome: Takes service, version, route and whether the answer was
@@ -62,6 +64,7 @@
     placement: Placement
     health: HealthBook
     budget: RetryBudget
+    models: ModelChoice
     metrics: Metrics
     clock: Callable[[], float]
     note_outcome: Callable[[str, str, str, bool], None]
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -36,6 +36,7 @@
         output_tokens: Most tokens to generate, 0 if unknown.
         prompt: Parts of the prompt in order.
         last_event: Id of the last event that the caller has, None at first.
+        session: Requests that belong together bear the same one.
     """
 
     request_id: str
@@ -52,6 +53,7 @@
     output_tokens: int = 0
     prompt: tuple[PromptPart, ...] = ()
     last_event: str | None = None
+    session: str | None = None
 
     @property
     def path(self) -> str:
@@ -65,10 +67,6 @@
             return self.prompt[-2].part_id
         return self.prompt[0].part_id if self.prompt else None
 
-    @property
-    def session(self) -> str | None:
-        """Returns the last part, which repeats within a session."""
-        return self.prompt[-1].part_id if self.prompt else None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -187,6 +185,10 @@
         """
         ...
 
+    def is_reachable(self, server: ServerEntry) -> bool:
+        """Tells whether a server's VM takes a new connection."""
+        ...
+
 
 class SentCall(Protocol):
     """A request that a server has received or may have."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -5,6 +5,8 @@
     ANSWER_SLACK_S,
     BaseExchange,
     Ended,
+    ExchangeTools,
+    RequestContext,
     close_all,
 )
 from amaranthlug.protocol.routing.messages import (
@@ -16,12 +18,14 @@
     UpstreamFailure,
     UpstreamReply,
 )
-from amaranthlug.protocol.routing.exchange import ExchangeTools, RequestContext
 from amaranthlug.state.routing.servers import ServerEntry
 
-QUIET_S = 1.0
-"""Time without a byte on any connection to a server after which it counts as
-silent, in seconds; engines send events several times a second."""
+PROBE_S = 0.4
+"""Time without a byte from a server after which its VM is probed by a new
+connection, in seconds; engines send events several times a second."""
+SILENT_S = 3.0
+"""Time without a byte from a reachable server after which a request leaves
+it, in seconds: longer than it takes to read the longest prompts."""
 STALL_S = 1.5
 """Longest pause inside a stream before it goes on at another server, in
 seconds; callers give up after 2 s and more."""
@@ -41,11 +45,12 @@
         super().__init__(context, writer, tools)
         self.splitter = EventSplitter(self.request.last_event)
         self.begun = False
-        self.model = self.pick_model()
+        self.place = tools.models.first(self.route)
 
-    def pick_model(self) -> str | None:
+    @property
+    def model(self) -> str | None:
         """Returns the model to ask for, None as the caller says."""
-        return self.route.models[-1] if self.route.models else None
+        return self.route.models[self.place] if self.route.models else None
 
     def run(self) -> Ended:
         """Returns how the request ended."""
@@ -98,13 +103,16 @@
             self.check_head(reply.head)
             if reply.head.status >= 300:
                 return self.relay_whole(server, reply)
+            self.check_answer(reply.head)
             self.relay(server, reply, began)
             outcome = "completed"
             self.note_result(server, bad=self.is_late(began))
             return reply.head
         except UpstreamFailure as failure:
             outcome = failure.kind.value
-            if failure.kind is FailureKind.NOT_RUN:
+            if failure.kind is FailureKind.WEAK:
+                self.tried.discard(server.life)
+            elif failure.kind is FailureKind.NOT_RUN:
                 tools.health.note_outcome(server, True)
             else:
                 self.note_result(server, bad=True)
@@ -121,6 +129,26 @@
                 events=self.splitter.events - events,
             )
 
+    def check_answer(self, head: ReplyHead) -> None:
+        """Drops an answer that a larger model should give instead.
+
+        Raises:
+            UpstreamFailure: The answer is dropped.
+        """
+        if self.begun or self.sendings >= self.route.max_attempts:
+            return
+        place = self.tools.models.following(
+            self.route, self.place, head.confidence
+        )
+        if place is None or not self.tools.budget.has(
+            self.context.service_name
+        ):
+            return
+        self.place = place
+        raise UpstreamFailure(
+            FailureKind.WEAK, f"confidence {head.confidence}"
+        )
+
     def is_late(self, began: float) -> bool:
         """Tells whether the first event took several times the objective."""
         return False
@@ -145,27 +173,34 @@
         """Waits for the first event while the server is alive."""
         tools = self.tools
         began = tools.clock()
-        objective_s = self.route.objective_ms / 1_000
         while True:
             wait = min(CHECK_S, self.left_s() + ANSWER_SLACK_S)
             try:
                 reply = sent.reply(max(wait, 0.001))
             except TimeoutError:
-                waited = tools.clock() - began
                 self.check_time()
-                if waited > objective_s and self.is_quiet(server, began):
-                    raise UpstreamFailure(
-                        FailureKind.TIMEOUT, "the server is silent"
-                    ) from None
+                self.check_alive(server, began)
                 continue
             tools.health.note_byte(server)
             tools.health.note_load(server, reply.head.load)
             return reply
 
-    def is_quiet(self, server: ServerEntry, since: float) -> bool:
-        """Tells whether a server sent nothing at all for a while."""
+    def check_alive(self, server: ServerEntry, since: float) -> None:
+        """Ends an exchange with a server that is dead or silent.
+
+        Raises:
+            UpstreamFailure: The request should go elsewhere.
+        """
+        now = self.tools.clock()
         heard = max(self.tools.health.of(server).last_byte_at, since)
-        return self.tools.clock() - heard > QUIET_S
+        if now - heard > PROBE_S and not self.tools.port.is_reachable(server):
+            raise UpstreamFailure(
+                FailureKind.TIMEOUT, "the server is unreachable"
+            )
+        if now - since > SILENT_S and now - heard > SILENT_S:
+            raise UpstreamFailure(
+                FailureKind.TIMEOUT, "the server is silent"
+            )
 
     def check_time(self) -> None:
         """Ends an exchange whose time is over.
@@ -187,6 +222,7 @@
                 piece = reply.read(max(wait, 0.001))
             except TimeoutError:
                 self.check_time()
+                self.check_alive(server, began)
                 if self.tools.clock() - began > STALL_S:
                     raise UpstreamFailure(
                         FailureKind.TIMEOUT, "the stream stalled"
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -33,6 +33,7 @@
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.protocol.retry_budget import RetryBudget
 from amaranthlug.protocol.routing.exchange import ExchangeTools
+from amaranthlug.protocol.routing.model_choice import ModelChoice
 from amaranthlug.protocol.routing.placement import Placement
 from amaranthlug.protocol.routing.request_log import DecisionLog
 from amaranthlug.protocol.routing.router import Router
@@ -160,6 +161,7 @@
             ),
             health=self.health,
             budget=self.budget,
+            models=ModelChoice(),
             metrics=self.metrics,
             clock=boot_seconds,
             note_outcome=self.rollouts.note,
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -12,7 +12,7 @@
     UpstreamCall,
     UpstreamFailure,
 )
-from amaranthlug.state.routing.config import RouteKind
+from amaranthlug.state.routing.servers import ServerEntry
 from amaranthlug.transport.routing.http_client import (
     AnswerHead,
     Headers,
@@ -32,6 +32,8 @@
 """Idle connections kept to one server."""
 SEND_TIMEOUT_S = 2.0
 """Longest wait until a server has taken a request, in seconds."""
+REACHED_S = 0.5
+"""Time for which the outcome of a probing connection holds, in seconds."""
 MAX_FOREIGN = 3
 """Answers to other requests that are skipped on a connection."""
 
@@ -71,6 +73,7 @@
         self.idle: dict[
             tuple[str, int], collections.deque[IdleConnection]
         ] = {}
+        self.reached: dict[tuple[str, int], tuple[float, bool]] = {}
 
     def send(self, call: UpstreamCall) -> "SentRequest":
         """Sends a request.
@@ -99,6 +102,25 @@
             raise
         return SentRequest(self, call, connection)
 
+    def is_reachable(self, server: ServerEntry) -> bool:
+        """Tells whether a server's VM takes a new connection.
+
+        The answer holds for a moment, so that many waiting requests cause
+        one connection.
+        """
+        now = self.clock()
+        known = self.reached.get(server.life)
+        if known is not None and now - known[0] < REACHED_S:
+            return known[1]
+        self.reached[server.life] = (now, True)
+        try:
+            HttpConnection.open(server.address, CONNECT_TIMEOUT_S).close()
+            reached = True
+        except OSError:
+            reached = False
+        self.reached[server.life] = (self.clock(), reached)
+        return reached
+
     def connect(self, call: UpstreamCall) -> HttpConnection:
         """Opens a connection.
 
@@ -145,6 +167,8 @@
                 kept.popleft().connection.close()
             if not kept:
                 del self.idle[life]
+        for life in [life for life in self.reached if life not in listed]:
+            del self.reached[life]
 
 
 class SentRequest:
