--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -9,6 +9,7 @@
 
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.protocol.retry_budget import RetryBudget
+from amaranthlug.protocol.routing.engine_queues import EngineQueues
 from amaranthlug.protocol.routing.messages import (
     AnswerWriter,
     FailureKind,
@@ -52,6 +53,7 @@
         health: What was seen of servers.
         budget: Retries of this node.
         models: Chooses models.
+        queues: Expected waits at engines.
         metrics: Counters and durations.
         clock: Returns seconds, including time in which the VM was paused.
         note_outcome: Takes service, version, route and whether the answer was
@@ -65,6 +67,7 @@
     health: HealthBook
     budget: RetryBudget
     models: ModelChoice
+    queues: EngineQueues
     metrics: Metrics
     clock: Callable[[], float]
     note_outcome: Callable[[str, str, str, bool], None]
@@ -133,12 +136,6 @@
         """Returns the time until the final answer is due, in seconds."""
         return self.limit - self.tools.clock()
 
-    def pick(self) -> ServerEntry | None:
-        """Returns a server for the next sending, None if there is none."""
-        candidates = self.context.candidates()
-        subject = self.request.subject
-        return self.tools.placement.pick(candidates, subject, self.tried)
-
     def may_repeat(self) -> bool:
         """Tells whether the route allows one more sending, and pays for it."""
         if self.sendings >= self.route.max_attempts:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
@@ -1,24 +1,35 @@
-"""Chooses the server of a request by load, health, zone and prompt parts."""
+"""Chooses the server of a request by expected cost in time."""
 
 import random
 from collections.abc import Callable
 
 import xxhash
 
+from amaranthlug.protocol.routing.engine_queues import EngineQueues
+from amaranthlug.protocol.routing.messages import RoutedRequest
 from amaranthlug.protocol.routing.server_health import HealthBook
 from amaranthlug.state.routing.servers import ServerEntry
 
-ZONE_PENALTY = 0.15
-"""Load share that a server in another zone seems to have more."""
-SPREAD = 1.25
-"""Load, against the mean, up to which a subject stays at its server."""
-SPREAD_REQUESTS = 3.0
-"""Requests above the mean up to which a subject stays at its server, so that
-an almost idle service does not scatter its subjects."""
-SLOW_FACTOR = 2.0
-"""Pace against the median above which a server counts as slow."""
-COLD_PENALTY = 0.5
-"""Load share that a server just after its start seems to have more."""
+ZONE_MS = 8.0
+"""Extra cost of a server in another zone, in milliseconds: several times the
+way between zones, since bytes between zones are priced."""
+REQUEST_MS = 6.0
+"""Cost of a request that an engine already runs, in milliseconds; each slows
+the tokens of the others a little."""
+PLAIN_REQUEST_MS = 40.0
+"""Cost of a request on each slot of a plain server, in milliseconds; about
+the usual work of a request."""
+FAILURE_MS = 400.0
+"""Cost of a server that fails every request, in milliseconds."""
+SLOW_MS = 150.0
+"""Cost of each multiple of the usual pace, in milliseconds."""
+COLD_MS = 60.0
+"""Cost of a server just after its start, in milliseconds."""
+JITTER_MS = 8.0
+"""Random part of a cost, in milliseconds; it keeps nodes that see the same
+from choosing the same."""
+KEEPERS = 2
+"""Servers that keep the parts of a subject's prompts."""
 
 
 class Placement:
@@ -28,71 +39,109 @@
         self,
         zone: str,
         health: HealthBook,
+        queues: EngineQueues,
         started_at: Callable[[ServerEntry], float],
         seed: int | None = None,
     ):
         """Creates a chooser for a node in `zone`."""
         self.zone = zone
         self.health = health
+        self.queues = queues
         self.started_at = started_at
         self.random = random.Random(seed)
 
-    def pick(
+    def able(
+        self, servers: list[ServerEntry], tried: set[tuple[str, int]]
+    ) -> list[ServerEntry]:
+        """Returns the servers to choose from.
+
+        A server that failed often gets one request at a time, which finds out
+        whether it recovered; if all did, all are asked.
+        """
+        fresh = [s for s in servers if s.life not in tried]
+        able = [s for s in fresh if self.health.may_try(s)]
+        trials = [s for s in able if self.health.is_bad(self.health.of(s))]
+        return trials[:1] or able or fresh
+
+    def pick_plain(
+        self, servers: list[ServerEntry], tried: set[tuple[str, int]]
+    ) -> ServerEntry | None:
+        """Returns the best plain server, None if there is none."""
+        able = self.able(servers, tried)
+        if not able:
+            return None
+        return min(able, key=lambda s: self.plain_ms(s, able))
+
+    def pick_engine(
         self,
         servers: list[ServerEntry],
-        subject: str | None,
         tried: set[tuple[str, int]],
+        request: RoutedRequest,
+        model: str | None,
     ) -> ServerEntry | None:
-        """Returns the best server that was not tried, None if there is none."""
-        fresh = [s for s in servers if s.life not in tried]
-        able = [s for s in fresh if self.health.may_try(s)]
-        trial = [s for s in able if self.health.is_bad(self.health.of(s))]
-        if trial:
-            # One request at a time finds out whether the server recovered.
-            return trial[0]
-        if not able:
-            able = fresh
+        """Returns the best engine for a prompt, None if there is none."""
+        able = self.able(servers, tried)
         if not able:
             return None
-        if subject is not None:
-            near = self.keeper_of(able, subject)
-            if near is not None:
-                return near
-        return min(able, key=lambda s: self.cost(s, able))
-
-    def keeper_of(
-        self, servers: list[ServerEntry], subject: str
-    ) -> ServerEntry | None:
-        """Returns the first server in the subject's order with room.
+        saved = self.saved_ms(able, request, model)
+        return min(
+            able,
+            key=lambda s: self.engine_ms(s, able) - saved.get(s.life, 0.0),
+        )
 
-        The order is a rendezvous hash, the same at every node, so that the
-        parts of the prompt are kept by few servers without any message.
+    def saved_ms(
+        self,
+        servers: list[ServerEntry],
+        request: RoutedRequest,
+        model: str | None,
+    ) -> dict[tuple[str, int], float]:
+        """Returns the reading time saved by servers that keep the subject.
+
+        The keepers are the first servers by rendezvous hash, the same at every
+        node, so that few servers keep a subject without any message.
         """
-        loads = {s.life: self.health.load(s) for s in servers}
-        mean = sum(loads.values()) / len(loads)
-        bound = max(SPREAD * mean, mean + SPREAD_REQUESTS)
-        for server in sorted(
-            servers, key=lambda s: rank(subject, s), reverse=True
-        ):
-            slow = self.health.slowness(server, servers)
-            if slow > SLOW_FACTOR:
-                continue
-            if loads[server.life] + 1 <= bound:
-                return server
-        return None
-
-    def cost(self, server: ServerEntry, peers: list[ServerEntry]) -> float:
-        """Returns the expected load share with penalties; least is best."""
+        subject = request.subject
+        if subject is None:
+            return {}
+        shared = sum(part.tokens for part in request.prompt[:-1])
+        pace = self.queues.pace(servers[0].service, model)
+        ranked = sorted(servers, key=lambda s: rank(subject, s), reverse=True)
+        return {
+            server.life: shared * pace.read_ms / (place + 1)
+            for place, server in enumerate(ranked[:KEEPERS])
+        }
+
+    def plain_ms(
+        self, server: ServerEntry, peers: list[ServerEntry]
+    ) -> float:
+        """Returns the expected cost of a plain server, in milliseconds."""
         share = (self.health.load(server) + 1) / max(1, server.slots)
-        share *= self.health.slowness(server, peers)
+        return PLAIN_REQUEST_MS * share + self.penalties_ms(server, peers)
+
+    def engine_ms(
+        self, server: ServerEntry, peers: list[ServerEntry]
+    ) -> float:
+        """Returns the expected cost of an engine, in milliseconds."""
+        return (
+            self.queues.wait_ms(server)
+            + REQUEST_MS * self.health.load(server)
+            + self.penalties_ms(server, peers)
+        )
+
+    def penalties_ms(
+        self, server: ServerEntry, peers: list[ServerEntry]
+    ) -> float:
+        """Returns the cost that does not depend on load, in milliseconds."""
+        cost = self.random.random() * JITTER_MS
         if server.zone != self.zone:
-            share += ZONE_PENALTY
-        share += self.health.of(server).failure_share
+            cost += ZONE_MS
+        cost += FAILURE_MS * self.health.of(server).failure_share
+        cost += SLOW_MS * (self.health.slowness(server, peers) - 1.0)
         if server.cold_ms:
             since = self.health.clock() - self.started_at(server)
             if since * 1_000 < server.cold_ms:
-                share += COLD_PENALTY
-        return share + self.random.random() * 0.01
+                cost += COLD_MS
+        return cost
 
 
 def rank(subject: str, server: ServerEntry) -> int:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -34,7 +34,9 @@
         """Returns how the request ended."""
         failed: tuple[ReplyHead, bytes] | None = None
         while self.may_repeat():
-            server = self.pick()
+            server = self.tools.placement.pick_plain(
+                self.context.candidates(), self.tried
+            )
             if server is None:
                 if self.sendings == 0 and self.wait_for_server():
                     continue
@@ -150,7 +152,8 @@
         self, server: ServerEntry, failure: UpstreamFailure
     ) -> None:
         """Takes a failed sending into the server's health."""
-        if failure.kind is FailureKind.NOT_RUN:
-            self.tools.health.note_outcome(server, True)
-        else:
+        if failure.kind is FailureKind.TIMEOUT:
             self.note_result(server, True)
+        else:
+            # A broken connection tells of the server, not of its version.
+            self.tools.health.note_outcome(server, True)
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -31,6 +31,11 @@
 seconds; callers give up after 2 s and more."""
 CHECK_S = 0.25
 """Period in which a waiting stream checks its server, in seconds."""
+LATE_SHARE = 0.5
+"""Part of the objective after which a first event counts as late when
+versions are compared; both versions are held to the same measure."""
+MIN_PACE_EVENTS = 5
+"""Events of a stream from which on its pace is measured."""
 MAX_URGENCY = 9
 """Lowest urgency that engines know."""
 
@@ -55,7 +60,12 @@
     def run(self) -> Ended:
         """Returns how the request ended."""
         while self.may_repeat():
-            server = self.pick()
+            server = self.tools.placement.pick_engine(
+                self.context.candidates(),
+                self.tried,
+                self.request,
+                self.model,
+            )
             if server is None:
                 if self.sendings == 0 and self.wait_for_server():
                     continue
@@ -87,48 +97,63 @@
         sent: SentCall | None = None
         reply: UpstreamReply | None = None
         outcome = "caller_left"
+        head_ms: float | None = None
         events = self.splitter.events
+        call = self.call_for(
+            server,
+            model=self.model,
+            urgency=min(MAX_URGENCY, 2 + 2 * self.context.priority),
+            last_event=self.splitter.last_event,
+        )
         tools.health.began(server)
         tools.note_session(self.request.session, server.version)
+        tokens = self.request.prompt_tokens
+        ticket = tools.queues.sent(server, call.model, tokens)
         try:
-            call = self.call_for(
-                server,
-                model=self.model,
-                urgency=min(MAX_URGENCY, 2 + 2 * self.context.priority),
-                last_event=self.splitter.last_event,
-            )
             self.splitter.tail = b""
             sent = self.open(server, call)
             reply = self.wait_head(server, sent)
+            head_ms = round((tools.clock() - began) * 1_000, 1)
+            if reply.head.status < 300:
+                tools.queues.began(server, call.model, tokens, ticket)
             self.check_head(reply.head)
             if reply.head.status >= 300:
                 return self.relay_whole(server, reply)
             self.check_answer(reply.head)
             self.relay(server, reply, began)
             outcome = "completed"
-            self.note_result(server, bad=self.is_late(began))
+            self.note_completed(server, call.model, began, head_ms, events)
             return reply.head
         except UpstreamFailure as failure:
             outcome = failure.kind.value
-            if failure.kind is FailureKind.WEAK:
-                self.tried.discard(server.life)
-            elif failure.kind is FailureKind.NOT_RUN:
-                tools.health.note_outcome(server, True)
-            else:
-                self.note_result(server, bad=True)
+            self.note_failure(server, failure)
             raise
         finally:
             close_all(reply or sent)
             tools.health.ended(server)
+            tools.queues.ended(server, ticket)
             self.note_attempt(
                 server,
                 began,
                 outcome,
-                model=self.model,
+                model=call.model,
+                head_ms=head_ms,
                 confidence=reply.head.confidence if reply else None,
                 events=self.splitter.events - events,
             )
 
+    def note_failure(
+        self, server: ServerEntry, failure: UpstreamFailure
+    ) -> None:
+        """Takes a failed sending into the health of server and version."""
+        if failure.kind is FailureKind.WEAK:
+            self.tried.discard(server.life)
+        elif failure.kind is FailureKind.FAILED:
+            self.note_result(server, bad=True)
+        else:
+            # A broken connection tells of the server, not of its version.
+            self.tools.health.note_outcome(server, True)
+
     def check_answer(self, head: ReplyHead) -> None:
         """Drops an answer that a larger model should give instead.
 
@@ -149,9 +174,28 @@
             FailureKind.WEAK, f"confidence {head.confidence}"
         )
 
-    def is_late(self, began: float) -> bool:
-        """Tells whether the first event took several times the objective."""
-        return False
+    def note_completed(
+        self,
+        server: ServerEntry,
+        model: str | None,
+        began: float,
+        head_ms: float,
+        events: int,
+    ) -> None:
+        """Takes outcome and pace of a stream that ended whole."""
+        tools = self.tools
+        tools.health.note_outcome(server, False)
+        late = head_ms > LATE_SHARE * self.route.objective_ms
+        tools.note_outcome(
+            self.context.service_name, server.version, self.route.name, late
+        )
+        made = self.splitter.events - events
+        if made >= MIN_PACE_EVENTS:
+            took_ms = (tools.clock() - began) * 1_000 - head_ms
+            usual = tools.queues.pace(server.service, model)
+            tools.health.note_pace(
+                server, 100 * usual.relative_pace(took_ms / made)
+            )
 
     def relay_whole(
         self, server: ServerEntry, reply: UpstreamReply
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -32,6 +32,7 @@
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.protocol.retry_budget import RetryBudget
+from amaranthlug.protocol.routing.engine_queues import EngineQueues
 from amaranthlug.protocol.routing.exchange import ExchangeTools
 from amaranthlug.protocol.routing.model_choice import ModelChoice
 from amaranthlug.protocol.routing.placement import Placement
@@ -146,6 +147,7 @@
             self.running_elsewhere,
         )
         self.health = HealthBook(boot_seconds)
+        self.queues = EngineQueues(boot_seconds)
         self.upstreams = Upstreams(headers)
         self.budget = RetryBudget(seed=settings.seed)
         self.sessions = SessionVersions(
@@ -156,12 +158,14 @@
             placement=Placement(
                 settings.zone,
                 self.health,
+                self.queues,
                 self.servers.started_at,
                 settings.seed,
             ),
             health=self.health,
             budget=self.budget,
             models=ModelChoice(),
+            queues=self.queues,
             metrics=self.metrics,
             clock=boot_seconds,
             note_outcome=self.rollouts.note,
@@ -215,7 +219,9 @@
         """Drops what was learnt of servers that are gone."""
         listed = [known.entry for known in self.servers.known.values()]
         self.health.keep_only(listed)
-        self.upstreams.drop({entry.life for entry in listed})
+        lives = {entry.life for entry in listed}
+        self.queues.keep_only(lives)
+        self.upstreams.drop(lives)
 
     def share_budget(self) -> None:
         """Takes this node's part of the fleet's retry budget."""
--- a/packages/amaranthlug/src/amaranthlug/state/routing/rollout.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/rollout.py
@@ -68,6 +68,9 @@
 DEVIATIONS = 3.0
 """Standard deviations above the expected count that make a version bad; one
 false alarm in about 1,000 judgements."""
+MARGIN = 0.12
+"""Share of answers by which a bad version fails more than the others; servers
+that are busier than others are late more often without being bad."""
 UNKNOWN_BAD_SHARE = 0.05
 """Share of bad answers assumed of the old version without evidence."""
 PRIOR_ANSWERS = 10.0
@@ -94,19 +97,35 @@
     """Tells whether `target` fails more than the other versions do.
 
     Each route is compared with the same route of the other versions, since
-    routes differ in the share of answers that fail on any version.
+    routes differ in the share of answers that fail on any version; a fault
+    may also show on one route only.
     """
     expected = 0.0
-    bad = 0
+    total = OutcomeCount()
     for route, count in evidence.get(target, {}).items():
-        others = OutcomeCount()
-        for version, routes in evidence.items():
-            if version != target and route in routes:
-                others.add(routes[route])
-        share = (others.bad + UNKNOWN_BAD_SHARE * PRIOR_ANSWERS) / (
-            others.answers + PRIOR_ANSWERS
-        )
+        share = usual_bad_share(evidence, target, route)
+        if exceeds(count, share * count.answers):
+            return True
         expected += share * count.answers
-        bad += count.bad
-    limit = expected + DEVIATIONS * math.sqrt(max(expected, 1.0))
-    return bad >= MIN_BAD and bad > limit
+        total.add(count)
+    return exceeds(total, expected)
+
+
+def usual_bad_share(evidence: Evidence, target: str, route: str) -> float:
+    """Returns the share of bad answers of the other versions on a route."""
+    others = OutcomeCount()
+    for version, routes in evidence.items():
+        if version != target and route in routes:
+            others.add(routes[route])
+    return (others.bad + UNKNOWN_BAD_SHARE * PRIOR_ANSWERS) / (
+        others.answers + PRIOR_ANSWERS
+    )
+
+
+def exceeds(count: OutcomeCount, expected: float) -> bool:
+    """Tells whether more answers were bad than chance and load explain."""
+    limit = max(
+        expected + DEVIATIONS * math.sqrt(max(expected, 1.0)),
+        expected + MARGIN * count.answers,
+    )
+    return count.bad >= MIN_BAD and count.bad > limit
