--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
@@ -45,10 +45,10 @@
         for record in records:
             self.apply(record)
 
-    def apply(self, record: KeyedRecord) -> None:
+    def apply(self, record: KeyedRecord) -> bool:
         """Takes a configuration or an order."""
         if record.value is None:
-            return
+            return False
         try:
             config = self.decoder.config(record)
             if config is not None:
@@ -62,6 +62,8 @@
                 error,
                 extra={"event": "config_unreadable", "key": record.key},
             )
+            return False
+        return True
 
     def take_config(self, config: RoutingConfig, offset: int) -> None:
         """Puts a configuration into force unless a newer one is."""
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/entry_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/entry_choice.py
@@ -2,7 +2,7 @@
 
 import random
 
-from amaranthlug.state.routing.nodes import NodeReport
+from amaranthlug.state.routing.fleet import NodeEntry
 
 MAX_ADDRESSES = 64
 """Addresses in one answer that callers read."""
@@ -12,7 +12,7 @@
 
 
 def choose_entries(
-    nodes: list[NodeReport], zone: str, region: str, rng: random.Random
+    nodes: list[NodeEntry], zone: str, region: str, rng: random.Random
 ) -> list[str]:
     """Returns addresses of serving nodes, those near the caller first.
 
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_controller.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_controller.py
@@ -13,12 +13,14 @@
     TrackedRollout,
 )
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
-from amaranthlug.state.routing.nodes import NodeReport
+from amaranthlug.state.routing.fleet import NodeEntry, RunningByService
 from amaranthlug.state.routing.rollout import RolloutStatus, RolloutStep
 
 TURN_S = 0.7
 """Time by which each further node waits longer before it writes, in seconds:
 more than a write and its reading by the others take."""
+SETTLED_SHARE = 0.75
+"""Part of the duration after which idle old servers let it be completed."""
 COMPLETE_LEAD_S = 1.5
 """Time before the end of a roll-out at which it is completed although old
 servers still work, in seconds: two turns."""
@@ -44,8 +46,8 @@
         tracker: RolloutTracker,
         encoder: StatusEncoder,
         node: str,
-        live_nodes: Callable[[], list[NodeReport]],
-        own_running: Callable[[str, str], int],
+        live_nodes: Callable[[], list[NodeEntry]],
+        running: Callable[[], RunningByService],
     ):
         """Creates a controller.
 
@@ -55,9 +57,8 @@
             tracker: Judges versions.
             encoder: Encodes steps.
             node: Name of this node.
-            live_nodes: Returns the reports of live nodes.
-            own_running: Returns this node's requests in flight on versions of
-                a service other than the given one.
+            live_nodes: Returns all live nodes.
+            running: Returns the requests in flight at all nodes.
         """
         self.store = store
         self.follower = follower
@@ -65,14 +66,13 @@
         self.encoder = encoder
         self.node = node
         self.live_nodes = live_nodes
-        self.own_running = own_running
+        self.running = running
         self.due_since: dict[tuple[str, str, RolloutStep], float] = {}
 
     def is_busy(self) -> bool:
         """Tells whether a roll-out is active."""
         return any(
-            tracked.step is RolloutStep.ACTIVE
-            for tracked in self.all_tracked()
+            tracked.step is RolloutStep.ACTIVE for tracked in self.all_tracked()
         )
 
     def all_tracked(self) -> list[TrackedRollout]:
@@ -104,29 +104,26 @@
         return None
 
     def old_are_idle(self, tracked: TrackedRollout) -> bool:
-        """Tells whether no node has work on another version."""
-        service, target = tracked.order.service, tracked.order.target
-        if self.own_running(service, target):
+        """Tells whether no node has work on another version.
+
+        Requests in flight are known with a lag, so they count only some time
+        after all work went to the new version.
+        """
+        order = tracked.order
+        running = self.running().get(order.service, {})
+        if any(n for version, n in running.items() if version != order.target):
             return False
-        for report in self.live_nodes():
-            if report.node == self.node:
-                continue
-            running = report.running.get(service, {})
-            if any(n for version, n in running.items() if version != target):
-                return False
-            # Until its evidence shows that it moved, a node may still send.
-            if tracked.began + 1.0 > self.tracker.clock():
-                return False
-        half = 0.7 * tracked.order.duration_s
-        return self.tracker.elapsed_s(tracked) > half
+        settled = SETTLED_SHARE * order.duration_s
+        return self.tracker.elapsed_s(tracked) > settled
 
     def is_my_turn(self, tracked: TrackedRollout, wanted: RolloutStep) -> bool:
         """Lets the first live node write, later ones only if it does not."""
         now = self.tracker.clock()
         key = (tracked.order.service, tracked.order.target, wanted)
         since = self.due_since.setdefault(key, now)
-        names = sorted({r.node for r in self.live_nodes()} | {self.node})
-        return now - since >= names.index(self.node) * TURN_S
+        names = sorted(entry.node for entry in self.live_nodes())
+        place = names.index(self.node) if self.node in names else len(names)
+        return now - since >= place * TURN_S
 
     def record(self, tracked: TrackedRollout, step: RolloutStep) -> None:
         """Writes a step if nothing was written since the last reading."""
@@ -134,9 +131,7 @@
         if position is None:
             return
         order = tracked.order
-        began_ms = int(
-            (time.time() - self.tracker.elapsed_s(tracked)) * 1_000
-        )
+        began_ms = int((time.time() - self.tracker.elapsed_s(tracked)) * 1_000)
         if tracked.status is not None:
             began_ms = tracked.status.began_ms
         status = RolloutStatus(order.service, order.target, step, began_ms)
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
@@ -8,7 +8,7 @@
 
 from amaranthlug.coordination.boot_clock import boot_seconds
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
-from amaranthlug.state.routing.nodes import NodeReport
+from amaranthlug.state.routing.fleet import EvidenceByRollout
 from amaranthlug.state.routing.rollout import (
     Evidence,
     OutcomeCount,
@@ -92,7 +92,7 @@
         self,
         decoder: StatusDecoder,
         orders: Callable[[], dict[str, RolloutOrder]],
-        others: Callable[[], list[NodeReport]],
+        others: Callable[[], list[EvidenceByRollout]],
         evidence_age_s: Callable[[], float],
         clock: Callable[[], float] = boot_seconds,
     ):
@@ -101,8 +101,8 @@
         Args:
             decoder: Decodes recorded states.
             orders: Returns the newest order of each service.
-            others: Returns the reports of the other live nodes.
-            evidence_age_s: Returns the age of those reports, in seconds.
+            others: Returns the answers that other nodes have seen.
+            evidence_age_s: Returns the age of those answers, in seconds.
             clock: Returns seconds.
         """
         self.decoder = decoder
@@ -118,10 +118,10 @@
         for record in records:
             self.apply(record)
 
-    def apply(self, record: KeyedRecord) -> None:
+    def apply(self, record: KeyedRecord) -> bool:
         """Takes a recorded state."""
         if record.value is None:
-            return
+            return False
         try:
             status = self.decoder.status(record)
         except ValueError as error:
@@ -130,9 +130,9 @@
                 error,
                 extra={"event": "status_unreadable", "key": record.key},
             )
-            return
+            return False
         if status is None:
-            return
+            return False
         self.statuses[status.service] = status
         log.info(
             "roll-out of %s to %s is %s",
@@ -141,6 +141,7 @@
             status.step.value,
             extra={"event": "rollout", "service": status.service},
         )
+        return True
 
     def of(self, service: str) -> TrackedRollout | None:
         """Returns the newest roll-out of a service, if there is one."""
@@ -224,10 +225,8 @@
     def pooled(self, tracked: TrackedRollout) -> Evidence:
         """Returns the evidence of all live nodes."""
         parts = [tracked.evidence]
-        for report in self.others():
-            found = report.evidence.get(self.evidence_key(tracked))
-            if found:
-                parts.append(found)
+        key = self.evidence_key(tracked)
+        parts += [part[key] for part in self.others() if key in part]
         return pooled(parts)
 
     def evidence_key(self, tracked: TrackedRollout) -> str:
@@ -269,7 +268,7 @@
         if bad and version == tracked.order.target:
             self.judge(tracked)
 
-    def own_evidence(self) -> dict[str, Evidence]:
+    def own_evidence(self) -> EvidenceByRollout:
         """Returns this node's evidence of active roll-outs for its report."""
         return {
             self.evidence_key(tracked): tracked.evidence
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
@@ -68,11 +68,10 @@
         for record in records:
             self.apply(record)
 
-    def apply(self, record: KeyedRecord) -> None:
+    def apply(self, record: KeyedRecord) -> bool:
         """Takes a new entry, or the removal of one."""
         if record.value is None:
-            self.remove(record.key)
-            return
+            return self.remove(record.key)
         try:
             entry = self.decoder.server(record)
         except ValueError as error:
@@ -81,13 +80,14 @@
                 error,
                 extra={"event": "server_unreadable", "subject": record.key},
             )
-            self.remove(record.key)
-            return
+            return self.remove(record.key)
         known = self.known.get(record.key)
-        if known is not None and known.drop_at is None and (
-            known.entry == entry
+        if (
+            known is not None
+            and known.drop_at is None
+            and (known.entry == entry)
         ):
-            return
+            return False
         self.by_service = None
         since = self.clock()
         if known is not None and known.entry.life == entry.life:
@@ -105,12 +105,13 @@
                 "address": entry.address,
             },
         )
+        return True
 
-    def remove(self, key: str) -> None:
+    def remove(self, key: str) -> bool:
         """Drops an entry, after a grace if it lapsed in an outage."""
         known = self.known.get(key)
         if known is None or known.drop_at is not None:
-            return
+            return False
         now = self.clock()
         recent = now - self.regained_at() < LAPSE_GRACE_S
         if recent and known.entry.state is ServerState.READY:
@@ -123,6 +124,7 @@
             key,
             extra={"event": "server_gone", "server": key, "grace": recent},
         )
+        return True
 
     def usable(self, service: str) -> list[ServerEntry]:
         """Returns the ready servers of a service."""
@@ -139,9 +141,9 @@
             self.by_service = {}
             for known in self.known.values():
                 if known.entry.state is ServerState.READY:
-                    self.by_service.setdefault(
-                        known.entry.service, []
-                    ).append(known.entry)
+                    self.by_service.setdefault(known.entry.service, []).append(
+                        known.entry
+                    )
         return self.by_service.get(service, [])
 
     def is_usable(self, entry: ServerEntry) -> bool:
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import gevent
+from gevent.event import Event
 from result import Err
 
 from amaranthlug.coordination.boot_clock import boot_seconds
@@ -20,6 +21,11 @@
 """Range of the wait after a failed read, in seconds: short against the 2 s in
 which a configuration must be in force, spread so that nodes do not return at
 one moment."""
+FRESH_MARGIN_S = 0.4
+"""Time by which two undisturbed reads may last longer, in seconds."""
+MAX_REMOVED = 2_000
+"""Removed keys that are remembered; a node that is further behind takes the
+whole topic."""
 
 log = logging.getLogger(__name__)
 
@@ -31,19 +37,23 @@
         """Takes the newest record of each key in place of all before."""
         ...
 
-    def apply(self, record: KeyedRecord) -> None:
-        """Takes a new record."""
+    def apply(self, record: KeyedRecord) -> bool:
+        """Takes a new record; True if it changed anything."""
         ...
 
 
 class TopicFollower:
-    """Reads a topic in one greenlet until stopped.
+    """Reads a topic in one greenlet, or takes what another node read.
 
     Attributes:
+        position: Offset from which to read on; None before the first reading.
         confirmed_at: Boot clock at which the read was sent that last reached
             the end of the topic, in seconds; minus infinity before the first.
         lost_at: Boot clock at the first failed read of the present outage.
         regained_at: Boot clock at the end of the last outage.
+        newest: The record that last changed anything, for each key.
+        floor: Offset below which removed keys are not known any more.
+        changed: Set when a record changed anything.
     """
 
     def __init__(
@@ -76,6 +86,11 @@
         self.confirmed_at = -math.inf
         self.lost_at: float | None = None
         self.regained_at = -math.inf
+        self.newest: dict[str, KeyedRecord] = {}
+        self.floor = 0
+        self.changed = Event()
+        self.direct = Event()
+        self.direct.set()
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -91,9 +106,14 @@
         """Returns the age of the knowledge of this topic, in seconds."""
         return self.clock() - self.confirmed_at
 
+    def is_fresh(self, age_s: float) -> bool:
+        """Tells whether knowledge of this age is that of undisturbed reads."""
+        return age_s < 2 * self.wait_s + self.pause_s + FRESH_MARGIN_S
+
     def run(self) -> None:
-        """Reads until stopped."""
+        """Reads until stopped, but not while another node reads for this."""
         while True:
+            self.direct.wait()
             if self.step():
                 gevent.sleep(self.pause_s)
             else:
@@ -102,18 +122,19 @@
     def step(self) -> bool:
         """Reads once; False if the store did not answer."""
         sent = self.clock()
-        if self.position is None:
+        position = self.position
+        if position is None:
             return self.load(sent)
-        result = self.store.read(self.topic, self.position, self.wait_s)
+        result = self.store.read(self.topic, position, self.wait_s)
         if isinstance(result, Err):
             return self.failed(result.err_value)
         page = result.ok_value
         self.regained(sent)
-        for record in page.records:
-            self.listener.apply(record)
-        self.position = page.next_start
+        if position != self.position:
+            return True  # Another node's reading was taken meanwhile.
+        self.take(page.records, page.next_start)
         if page.next_start >= page.end:
-            self.confirmed_at = sent
+            self.confirm(sent)
         return True
 
     def load(self, sent: float) -> bool:
@@ -123,11 +144,45 @@
             return self.failed(result.err_value)
         page = result.ok_value
         self.regained(sent)
-        self.listener.replace(page.records)
-        self.position = page.next_start
-        self.confirmed_at = sent
+        self.replace(page.records, page.next_start)
+        self.confirm(sent)
         return True
 
+    def replace(self, records: list[KeyedRecord], position: int) -> None:
+        """Takes the whole topic."""
+        self.listener.replace(records)
+        self.newest = {record.key: record for record in records}
+        self.position = self.floor = position
+        self.changed.set()
+
+    def take(self, records: list[KeyedRecord], position: int) -> None:
+        """Takes new records."""
+        for record in records:
+            if self.listener.apply(record):
+                self.newest[record.key] = record
+                self.changed.set()
+        self.position = position
+        self.forget_removed()
+
+    def forget_removed(self) -> None:
+        """Bounds the number of removed keys that are remembered."""
+        removed = [r for r in self.newest.values() if r.value is None]
+        if len(removed) <= MAX_REMOVED:
+            return
+        for record in removed:
+            del self.newest[record.key]
+            self.floor = max(self.floor, record.offset + 1)
+
+    def confirm(self, at: float) -> None:
+        """Notes that the knowledge was complete at a time."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def since(self, position: int | None) -> list[KeyedRecord] | None:
+        """Returns what changed from an offset on; None: take all of it."""
+        if position is None or position < self.floor:
+            return None
+        return [r for r in self.newest.values() if r.offset >= position]
+
     def failed(self, error: StoreError) -> bool:
         """Notes a failed read; expired records are loaded anew at once."""
         if error.expired:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -116,7 +116,10 @@
     """Sending rules that hold for all kinds."""
 
     def __init__(
-        self, context: RequestContext, writer: AnswerWriter, tools: ExchangeTools
+        self,
+        context: RequestContext,
+        writer: AnswerWriter,
+        tools: ExchangeTools,
     ):
         """Prepares an exchange."""
         self.context = context
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -68,7 +68,6 @@
         return self.prompt[0].part_id if self.prompt else None
 
 
-
 @dataclasses.dataclass(frozen=True)
 class UpstreamCall:
     """One sending of a request to one server.
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
@@ -111,16 +111,12 @@
             for place, server in enumerate(ranked[:KEEPERS])
         }
 
-    def plain_ms(
-        self, server: ServerEntry, peers: list[ServerEntry]
-    ) -> float:
+    def plain_ms(self, server: ServerEntry, peers: list[ServerEntry]) -> float:
         """Returns the expected cost of a plain server, in milliseconds."""
         share = (self.health.load(server) + 1) / max(1, server.slots)
         return PLAIN_REQUEST_MS * share + self.penalties_ms(server, peers)
 
-    def engine_ms(
-        self, server: ServerEntry, peers: list[ServerEntry]
-    ) -> float:
+    def engine_ms(self, server: ServerEntry, peers: list[ServerEntry]) -> float:
         """Returns the expected cost of an engine, in milliseconds."""
         return (
             self.queues.wait_ms(server)
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/session_versions.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/session_versions.py
@@ -38,7 +38,10 @@
                 return split.new
             if split.first_half:
                 return split.old
-        drawn = xxhash.xxh32_intdigest((session or request_id).encode()) / HASH_RANGE
+        drawn = (
+            xxhash.xxh32_intdigest((session or request_id).encode())
+            / HASH_RANGE
+        )
         return split.new if drawn < split.share else split.old
 
     def version_of(self, session: str | None) -> str | None:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -12,7 +12,6 @@
 from amaranthlug.protocol.routing.messages import (
     AnswerWriter,
     FailureKind,
-    OwnAnswer,
     ReplyHead,
     SentCall,
     UpstreamFailure,
@@ -44,7 +43,10 @@
     """Relays a stream, going on at another server when one breaks."""
 
     def __init__(
-        self, context: RequestContext, writer: AnswerWriter, tools: ExchangeTools
+        self,
+        context: RequestContext,
+        writer: AnswerWriter,
+        tools: ExchangeTools,
     ):
         """Prepares an exchange."""
         super().__init__(context, writer, tools)
@@ -170,9 +172,7 @@
         ):
             return
         self.place = place
-        raise UpstreamFailure(
-            FailureKind.WEAK, f"confidence {head.confidence}"
-        )
+        raise UpstreamFailure(FailureKind.WEAK, f"confidence {head.confidence}")
 
     def note_completed(
         self,
@@ -242,9 +242,7 @@
                 FailureKind.TIMEOUT, "the server is unreachable"
             )
         if now - since > SILENT_S and now - heard > SILENT_S:
-            raise UpstreamFailure(
-                FailureKind.TIMEOUT, "the server is silent"
-            )
+            raise UpstreamFailure(FailureKind.TIMEOUT, "the server is silent")
 
     def check_time(self) -> None:
         """Ends an exchange whose time is over.
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -15,8 +15,13 @@
     OperatorDecoder,
 )
 from amaranthlug.coordination.routing.entry_choice import choose_entries
+from amaranthlug.coordination.routing.fleet_view import FleetView
 from amaranthlug.coordination.routing.keyed_store import KeyedStore
-from amaranthlug.coordination.routing.node_directory import NodeDirectory
+from amaranthlug.coordination.routing.relay import (
+    PeerPort,
+    Relay,
+    RelayedFollowing,
+)
 from amaranthlug.coordination.routing.rollout_controller import (
     RolloutController,
     StatusEncoder,
@@ -41,7 +46,12 @@
 from amaranthlug.protocol.routing.server_health import HealthBook
 from amaranthlug.protocol.routing.session_versions import SessionVersions
 from amaranthlug.state.routing.config import CallerLimits
-from amaranthlug.state.routing.nodes import NodeReport
+from amaranthlug.state.routing.fleet import (
+    NodeEntry,
+    NodeReport,
+    RunningByService,
+    sum_running,
+)
 from amaranthlug.state.routing.settings import RoutedNodeSettings
 from amaranthlug.transport.routing.text_metrics import TextMetrics
 from amaranthlug.transport.routing.upstreams import HeaderCodec, Upstreams
@@ -49,12 +59,12 @@
 CONFIG_WAIT_S = 1.2
 """Longest wait of one read of the configuration, in seconds; two reads and a
 reconnection fit into the time after which a withdrawn key must not work."""
-SERVERS_WAIT_S = 2.0
+SERVERS_WAIT_S = 1.2
 """Longest wait of one read of server entries, in seconds."""
 SERVERS_PAUSE_S = 0.2
 """Pause between reads of server entries, in seconds: servers write theirs
 about once a second each, and nothing new may go to a leaving one after 2 s."""
-STATUS_WAIT_S = 5.0
+STATUS_WAIT_S = 4.0
 """Longest wait of one read of the state of roll-outs, in seconds."""
 REPORT_S = 1.0
 """Period of this node's report, in seconds."""
@@ -106,6 +116,7 @@
         codec: RecordCodec,
         topics: TopicNames,
         headers: HeaderCodec,
+        peers: PeerPort,
         decisions: DecisionLog,
     ):
         """Wires all parts; `start` begins to follow the store."""
@@ -127,32 +138,39 @@
         self.server_follower = TopicFollower(
             store, topics.servers, self.servers, SERVERS_WAIT_S, SERVERS_PAUSE_S
         )
-        self.nodes = NodeDirectory(store, self.report)
+        self.fleet = FleetView(store, self.report)
         self.rollouts = RolloutTracker(
             codec,
             lambda: self.config.orders,
-            lambda: self.nodes.others(settings.name),
-            self.nodes.follower.age_s,
+            self.fleet.evidence,
+            self.fleet.age_s,
         )
         self.status_follower = TopicFollower(
             store, topics.status, self.rollouts, STATUS_WAIT_S
         )
+        self.followers = [
+            self.config_follower,
+            self.server_follower,
+            self.status_follower,
+        ]
+        self.relay = Relay(self.followers, self.fleet, lambda: self.leaving)
+        self.following = RelayedFollowing(
+            settings.name, settings.zone, self.followers, self.fleet, peers
+        )
         self.controller = RolloutController(
             store,
             self.status_follower,
             self.rollouts,
             codec,
             settings.name,
-            self.nodes.live,
-            self.running_elsewhere,
+            self.fleet.nodes,
+            self.running_everywhere,
         )
         self.health = HealthBook(boot_seconds)
         self.queues = EngineQueues(boot_seconds)
         self.upstreams = Upstreams(headers)
         self.budget = RetryBudget(seed=settings.seed)
-        self.sessions = SessionVersions(
-            boot_seconds, settings.bounds.session_s
-        )
+        self.sessions = SessionVersions(boot_seconds, settings.bounds.session_s)
         tools = ExchangeTools(
             port=self.upstreams,
             placement=Placement(
@@ -189,12 +207,9 @@
     def start(self) -> None:
         """Follows the store and begins the periodic tasks."""
         self.share_budget()
-        for follower in (
-            self.config_follower,
-            self.server_follower,
-            self.status_follower,
-        ):
+        for follower in self.followers:
             follower.start()
+        self.following.start()
         self.timers.every("report", REPORT_S, self.exchange)
         self.timers.every("rollouts", CONTROL_S, self.control)
         self.timers.every("tidy", TIDY_S, self.tidy)
@@ -206,8 +221,9 @@
         )
 
     def exchange(self) -> None:
-        """Publishes this node's report and reads those of the others."""
-        self.nodes.exchange()
+        """Reports to the store, unless a relay does so for this node."""
+        if self.following.relay is None:
+            self.fleet.exchange()
         self.share_budget()
 
     def control(self) -> None:
@@ -226,7 +242,7 @@
     def share_budget(self) -> None:
         """Takes this node's part of the fleet's retry budget."""
         bounds = self.settings.bounds
-        nodes = max(1, len(self.nodes.live()))
+        nodes = max(1, len(self.fleet.nodes()))
         self.budget.share = bounds.retry_share * BUDGET_USE
         self.budget.burst = max(
             1.0, bounds.retry_allowance * BUDGET_USE / nodes
@@ -243,10 +259,7 @@
 
     def entries(self, zone: str, region: str) -> list[str]:
         """Returns addresses for a caller in `zone`."""
-        nodes = self.nodes.others(self.settings.name)
-        if self.is_ready():
-            nodes = [*nodes, self.report()]
-        return choose_entries(nodes, zone, region, self.random)
+        return choose_entries(self.fleet.nodes(), zone, region, self.random)
 
     def limits(self) -> CallerLimits:
         """Returns the bounds on what callers send."""
@@ -256,21 +269,22 @@
     def report(self) -> NodeReport:
         """Returns what this node tells the others."""
         settings = self.settings
-        return NodeReport(
+        entry = NodeEntry(
             node=settings.name,
             incarnation=self.incarnation,
             address=settings.addresses.callers,
+            peer_address=settings.addresses.peers,
             zone=settings.zone,
             region=settings.region,
             serving=self.is_ready(),
-            evidence=self.rollouts.own_evidence(),
-            running=self.running_by_version(),
-            suspects={},
+        )
+        return NodeReport(
+            entry, self.rollouts.own_evidence(), self.running_by_version()
         )
 
-    def running_by_version(self) -> dict[str, dict[str, int]]:
+    def running_by_version(self) -> RunningByService:
         """Returns service -> version -> requests in flight."""
-        running: dict[str, dict[str, int]] = {}
+        running: RunningByService = {}
         for known in self.servers.known.values():
             own = self.health.of(known.entry).own
             if own:
@@ -279,10 +293,9 @@
                 versions[version] = versions.get(version, 0) + own
         return running
 
-    def running_elsewhere(self, service: str, version: str) -> int:
-        """Returns requests in flight on other versions of a service."""
-        running = self.running_by_version().get(service, {})
-        return sum(n for v, n in running.items() if v != version)
+    def running_everywhere(self) -> RunningByService:
+        """Returns the requests in flight at all nodes."""
+        return sum_running([self.running_by_version(), self.fleet.running()])
 
     def take_settings(self, settings: RoutedNodeSettings) -> None:
         """Takes changed settings; addresses hold until the next start."""
@@ -308,7 +321,7 @@
         began = boot_seconds()
         self.leaving = True
         log.info("node %s leaves", self.settings.name, extra={"event": "stop"})
-        gevent.spawn(self.nodes.publish)
+        gevent.spawn(self.following.tell_now)
         grace = self.settings.bounds.stop_grace_s - KILL_MARGIN_S
         accepting = True
         while boot_seconds() - began < grace:
@@ -319,7 +332,7 @@
             if not accepting and not requests_running():
                 break
         with gevent.Timeout(KILL_MARGIN_S / 2, False):
-            self.nodes.withdraw()
+            self.fleet.withdraw()
         log.info(
             "node %s stopped",
             self.settings.name,
--- a/packages/amaranthlug/src/amaranthlug/state/routing/config.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/config.py
@@ -138,7 +138,9 @@
             host: tuple(sorted(found, key=lambda r: -len(r.prefix)))
             for host, found in by_host.items()
         }
-        return cls(version, indexed, {s.name: s for s in services}, limits, keys)
+        return cls(
+            version, indexed, {s.name: s for s in services}, limits, keys
+        )
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of `path`, if any."""
--- a/packages/amaranthlug/src/amaranthlug/state/routing/settings.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/settings.py
@@ -12,12 +12,14 @@
         readiness: Where the platform asks whether the node is ready.
         directory: Where callers ask which nodes to use.
         metrics: Where metrics are read.
+        peers: Where other nodes connect.
     """
 
     callers: str
     readiness: str
     directory: str
     metrics: str
+    peers: str
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/relay_http.py
@@ -0,0 +1,108 @@
+"""Exchanges between nodes: HTTP with JSON."""
+
+import msgspec
+
+from amaranthlug.coordination.routing.relay import (
+    Relay,
+    RelayAnswer,
+    RelayRequest,
+)
+from amaranthlug.transport.routing.http_client import (
+    HttpConnection,
+    render_request,
+)
+from amaranthlug.transport.routing.http_server import (
+    IncomingRequest,
+    Responder,
+)
+
+EXCHANGE_PATH = "/peer/exchange"
+CONNECT_S = 0.3
+"""Longest wait for a connection to another node, in seconds."""
+MAX_ANSWER_BYTES = 16 << 20
+"""Largest answer of a relay, in bytes; a configuration with thousands of
+routes stays below a tenth of it."""
+
+
+class RelayEndpoint:
+    """Answers exchanges of other nodes."""
+
+    def __init__(self, relay: Relay):
+        """Serves a relay."""
+        self.relay = relay
+
+    def handle(self, incoming: IncomingRequest, responder: Responder) -> None:
+        """Answers one exchange."""
+        if incoming.target != EXCHANGE_PATH:
+            responder.send_answer(404, [], b"")
+            return
+        try:
+            request = msgspec.json.decode(incoming.body, type=RelayRequest)
+        except msgspec.MsgspecError as error:
+            responder.send_answer(400, [], str(error).encode())
+            return
+        answer = self.relay.answer(request)
+        if answer is None:
+            responder.send_answer(503, [], b"")
+            return
+        responder.send_answer(
+            200,
+            [("Content-Type", "application/json")],
+            msgspec.json.encode(answer),
+        )
+
+
+class HttpPeers:
+    """Implements `PeerPort` with one kept connection per node."""
+
+    def __init__(self) -> None:
+        """Creates no connection yet."""
+        self.kept: dict[str, HttpConnection] = {}
+
+    def exchange(
+        self, address: str, request: RelayRequest, timeout_s: float
+    ) -> RelayAnswer:
+        """Returns the answer of the node at `address`.
+
+        Raises:
+            OSError: The node did not answer or does not read the store.
+        """
+        connection = self.kept.pop(address, None)
+        if connection is not None and not connection.is_quiet():
+            connection.close()
+            connection = None
+        if connection is None:
+            connection = HttpConnection.open(address, CONNECT_S)
+        body = msgspec.json.encode(request)
+        headers = [("Host", address), ("Content-Length", str(len(body)))]
+        try:
+            answer = self.ask(
+                connection,
+                render_request("POST", EXCHANGE_PATH, headers, body),
+                timeout_s,
+            )
+        except BaseException:
+            connection.close()
+            raise
+        self.kept[address] = connection
+        return answer
+
+    def ask(
+        self, connection: HttpConnection, data: bytes, timeout_s: float
+    ) -> RelayAnswer:
+        """Sends a request and decodes its answer."""
+        connection.send(data, timeout_s)
+        head = connection.read_head(timeout_s)
+        pieces: list[bytes] = []
+        size = 0
+        while (piece := connection.read_body(timeout_s)) is not None:
+            size += len(piece)
+            if size > MAX_ANSWER_BYTES:
+                raise OSError("the answer is too large")
+            pieces.append(piece)
+        if head.status != 200:
+            raise OSError(f"the node answered {head.status}")
+        try:
+            return msgspec.json.decode(b"".join(pieces), type=RelayAnswer)
+        except msgspec.MsgspecError as error:
+            raise OSError(f"the answer cannot be read: {error}") from error
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -70,9 +70,7 @@
         """Creates an empty pool."""
         self.codec = codec
         self.clock = clock
-        self.idle: dict[
-            tuple[str, int], collections.deque[IdleConnection]
-        ] = {}
+        self.idle: dict[tuple[str, int], collections.deque[IdleConnection]] = {}
         self.reached: dict[tuple[str, int], tuple[float, bool]] = {}
 
     def send(self, call: UpstreamCall) -> "SentRequest":
