--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/keyed_store.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/keyed_store.py
@@ -1,4 +1,4 @@
-"""Interface of the platform's store: topics whose newest record per key lasts."""
+"""Interface of the platform's store, which keeps the newest of each key."""
 
 import dataclasses
 from typing import Protocol
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -19,7 +19,7 @@
     SentCall,
     ServerPort,
     UpstreamCall,
-    UpstreamFailure,
+    UpstreamCallError,
     UpstreamReply,
 )
 from amaranthlug.protocol.routing.model_choice import ModelChoice
@@ -155,11 +155,11 @@
         """Sends a request and counts it.
 
         Raises:
-            UpstreamFailure: It was not sent, or the connection broke.
+            UpstreamCallError: It was not sent, or the connection broke.
         """
         try:
             sent = self.tools.port.send(call)
-        except UpstreamFailure as failure:
+        except UpstreamCallError as failure:
             if failure.kind is not FailureKind.NOT_SENT:
                 self.sendings += 1
             raise
@@ -183,17 +183,17 @@
         """Raises what a head says of a failed sending.
 
         Raises:
-            UpstreamFailure: The request did not run, or the answer is not one
+            UpstreamCallError: The request did not run, or the answer is not one
                 that the caller can use.
         """
         if head.not_run or head.status == 421:
-            raise UpstreamFailure(
+            raise UpstreamCallError(
                 FailureKind.NOT_RUN, f"refused with {head.status}"
             )
         if head.encoded:
-            raise UpstreamFailure(FailureKind.BROKEN, "encoded body")
+            raise UpstreamCallError(FailureKind.BROKEN, "encoded body")
         if head.status < 300 and not head.sealed:
-            raise UpstreamFailure(FailureKind.BROKEN, "answer without a seal")
+            raise UpstreamCallError(FailureKind.BROKEN, "answer without a seal")
 
     def note_attempt(
         self, server: ServerEntry, began: float, outcome: str, **more: Any
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -140,7 +140,7 @@
     WEAK = "weak"
 
 
-class UpstreamFailure(Exception):
+class UpstreamCallError(Exception):
     """A sending that gave no usable answer."""
 
     def __init__(self, kind: FailureKind, message: str):
@@ -164,7 +164,7 @@
 
         Raises:
             TimeoutError: Nothing came in time.
-            UpstreamFailure: The answer broke.
+            UpstreamCallError: The answer broke.
         """
         ...
 
@@ -180,7 +180,7 @@
         """Sends a request.
 
         Raises:
-            UpstreamFailure: It was not sent, or the connection broke.
+            UpstreamCallError: It was not sent, or the connection broke.
         """
         ...
 
@@ -197,7 +197,7 @@
 
         Raises:
             TimeoutError: No head came in time; it may be asked for again.
-            UpstreamFailure: The connection or the answer broke.
+            UpstreamCallError: The connection or the answer broke.
         """
         ...
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -10,7 +10,7 @@
     FailureKind,
     ReplyHead,
     SentCall,
-    UpstreamFailure,
+    UpstreamCallError,
     UpstreamReply,
 )
 from amaranthlug.state.routing.config import RouteKind
@@ -46,7 +46,7 @@
             self.tried.add(server.life)
             try:
                 head, body = self.ask(server)
-            except UpstreamFailure as failure:
+            except UpstreamCallError as failure:
                 self.may_have_run = self.may_have_run or failure.may_have_run
                 continue
             if head.status < SERVER_ERROR:
@@ -73,7 +73,7 @@
         """Asks one server.
 
         Raises:
-            UpstreamFailure: It gave no whole answer.
+            UpstreamCallError: It gave no whole answer.
         """
         tools = self.tools
         began = tools.clock()
@@ -88,7 +88,7 @@
             outcome = str(reply.head.status)
             self.note_answer(server, reply.head, began)
             return reply.head, body
-        except UpstreamFailure as failure:
+        except UpstreamCallError as failure:
             outcome = failure.kind.value
             self.note_failure(server, failure)
             raise
@@ -112,7 +112,7 @@
         try:
             reply = sent.reply(patience_s)
         except TimeoutError as error:
-            raise UpstreamFailure(
+            raise UpstreamCallError(
                 FailureKind.TIMEOUT, "no answer in time"
             ) from error
         self.check_head(reply.head)
@@ -126,14 +126,14 @@
             try:
                 piece = reply.read(self.left_s() + ANSWER_SLACK_S)
             except TimeoutError as error:
-                raise UpstreamFailure(
+                raise UpstreamCallError(
                     FailureKind.TIMEOUT, "the answer did not end in time"
                 ) from error
             if piece is None:
                 return b"".join(pieces)
             size += len(piece)
             if size > MAX_ANSWER_BYTES:
-                raise UpstreamFailure(FailureKind.BROKEN, "answer too large")
+                raise UpstreamCallError(FailureKind.BROKEN, "answer too large")
             pieces.append(piece)
 
     def note_answer(
@@ -149,7 +149,7 @@
         health.note_pace(server, took_ms)
 
     def note_failure(
-        self, server: ServerEntry, failure: UpstreamFailure
+        self, server: ServerEntry, failure: UpstreamCallError
     ) -> None:
         """Takes a failed sending into the server's health."""
         if failure.kind is FailureKind.TIMEOUT:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
@@ -40,7 +40,7 @@
 log = logging.getLogger(__name__)
 
 
-class Refused(Exception):
+class RefusedError(Exception):
     """The node answers a request itself."""
 
     def __init__(self, answer: OwnAnswer):
@@ -101,7 +101,7 @@
         try:
             try:
                 outcome, status = self.answer(request, writer, trace)
-            except Refused as refused:
+            except RefusedError as refused:
                 outcome, status = refused.answer.reason, refused.answer.status
                 writer.own(refused.answer)
         finally:
@@ -144,7 +144,7 @@
         exchange: Exchange = kind(context, writer, self.tools)
         ended = exchange.run()
         if isinstance(ended, OwnAnswer):
-            raise Refused(ended)
+            raise RefusedError(ended)
         return ended
 
     def find_route(
@@ -153,7 +153,7 @@
         """Returns the route of a request.
 
         Raises:
-            Refused: There is none, or it may be too new to be known here.
+            RefusedError: There is none, or it may be too new to be known here.
         """
         route = config.find_route(request.host, request.path)
         if route is not None:
@@ -162,7 +162,7 @@
             raise self.not_now(
                 "unconfirmed_configuration", "the route may be new"
             )
-        raise Refused(
+        raise RefusedError(
             OwnAnswer(404, "no_route", "no route for this host and path")
         )
 
@@ -176,7 +176,7 @@
         """Returns the holder of the key, None if no key is needed.
 
         Raises:
-            Refused: The key is unknown, or cannot be confirmed.
+            RefusedError: The key is unknown, or cannot be confirmed.
         """
         if route.anonymous or config.keys is None:
             return None
@@ -192,7 +192,9 @@
             raise self.not_now(
                 "unconfirmed_configuration", "the key may be new"
             )
-        raise Refused(OwnAnswer(401, "unknown_key", "the key is not known"))
+        raise RefusedError(
+            OwnAnswer(401, "unknown_key", "the key is not known")
+        )
 
     def may_send(self, context: RequestContext) -> bool:
         """Tells whether the key of a request still holds."""
@@ -230,7 +232,7 @@
             split, request.session, request.request_id
         )
 
-    def not_now(self, reason: str, message: str) -> Refused:
+    def not_now(self, reason: str, message: str) -> RefusedError:
         """Returns a refusal that asks to come back."""
         wait = self.random.uniform(*COME_BACK_S)
-        return Refused(OwnAnswer(503, reason, message, wait))
+        return RefusedError(OwnAnswer(503, reason, message, wait))
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -14,7 +14,7 @@
     FailureKind,
     ReplyHead,
     SentCall,
-    UpstreamFailure,
+    UpstreamCallError,
     UpstreamReply,
 )
 from amaranthlug.state.routing.servers import ServerEntry
@@ -77,7 +77,7 @@
             self.tried.add(server.life)
             try:
                 head = self.stream_from(server)
-            except UpstreamFailure as failure:
+            except UpstreamCallError as failure:
                 self.may_have_run = self.may_have_run or failure.may_have_run
                 continue
             return ("completed" if head.status < 300 else "answered"), (
@@ -92,7 +92,7 @@
         """Relays what one server sends until the stream's end.
 
         Raises:
-            UpstreamFailure: The stream broke or did not begin.
+            UpstreamCallError: The stream broke or did not begin.
         """
         tools = self.tools
         began = tools.clock()
@@ -126,7 +126,7 @@
             outcome = "completed"
             self.note_completed(server, call.model, began, head_ms, events)
             return reply.head
-        except UpstreamFailure as failure:
+        except UpstreamCallError as failure:
             outcome = failure.kind.value
             self.note_failure(server, failure)
             raise
@@ -145,7 +145,7 @@
             )
 
     def note_failure(
-        self, server: ServerEntry, failure: UpstreamFailure
+        self, server: ServerEntry, failure: UpstreamCallError
     ) -> None:
         """Takes a failed sending into the health of server and version."""
         if failure.kind is FailureKind.WEAK:
@@ -160,7 +160,7 @@
         """Drops an answer that a larger model should give instead.
 
         Raises:
-            UpstreamFailure: The answer is dropped.
+            UpstreamCallError: The answer is dropped.
         """
         if self.begun or self.sendings >= self.route.max_attempts:
             return
@@ -172,7 +172,9 @@
         ):
             return
         self.place = place
-        raise UpstreamFailure(FailureKind.WEAK, f"confidence {head.confidence}")
+        raise UpstreamCallError(
+            FailureKind.WEAK, f"confidence {head.confidence}"
+        )
 
     def note_completed(
         self,
@@ -202,14 +204,14 @@
     ) -> ReplyHead:
         """Delivers a failure of a server, or raises it to be repeated."""
         if reply.head.status >= 500:
-            raise UpstreamFailure(
+            raise UpstreamCallError(
                 FailureKind.FAILED, f"server answered {reply.head.status}"
             )
         body = b""
         while (piece := self.next_piece(server, reply)) is not None:
             body += piece
         if self.begun:
-            raise UpstreamFailure(FailureKind.FAILED, "refused to go on")
+            raise UpstreamCallError(FailureKind.FAILED, "refused to go on")
         self.writer.whole(reply.head, body)
         return reply.head
 
@@ -233,25 +235,25 @@
         """Ends an exchange with a server that is dead or silent.
 
         Raises:
-            UpstreamFailure: The request should go elsewhere.
+            UpstreamCallError: The request should go elsewhere.
         """
         now = self.tools.clock()
         heard = max(self.tools.health.of(server).last_byte_at, since)
         if now - heard > PROBE_S and not self.tools.port.is_reachable(server):
-            raise UpstreamFailure(
+            raise UpstreamCallError(
                 FailureKind.TIMEOUT, "the server is unreachable"
             )
         if now - since > SILENT_S and now - heard > SILENT_S:
-            raise UpstreamFailure(FailureKind.TIMEOUT, "the server is silent")
+            raise UpstreamCallError(FailureKind.TIMEOUT, "the server is silent")
 
     def check_time(self) -> None:
         """Ends an exchange whose time is over.
 
         Raises:
-            UpstreamFailure: The time is over.
+            UpstreamCallError: The time is over.
         """
         if self.left_s() + ANSWER_SLACK_S <= 0:
-            raise UpstreamFailure(FailureKind.TIMEOUT, "the time is over")
+            raise UpstreamCallError(FailureKind.TIMEOUT, "the time is over")
 
     def next_piece(
         self, server: ServerEntry, reply: UpstreamReply
@@ -266,7 +268,7 @@
                 self.check_time()
                 self.check_alive(server, began)
                 if self.tools.clock() - began > STALL_S:
-                    raise UpstreamFailure(
+                    raise UpstreamCallError(
                         FailureKind.TIMEOUT, "the stream stalled"
                     ) from None
                 continue
@@ -281,7 +283,9 @@
             try:
                 events = self.splitter.feed(piece)
             except ValueError as error:
-                raise UpstreamFailure(FailureKind.BROKEN, str(error)) from error
+                raise UpstreamCallError(
+                    FailureKind.BROKEN, str(error)
+                ) from error
             if not events:
                 continue
             if self.begun:
@@ -289,7 +293,7 @@
             else:
                 self.begin(reply, events)
         if self.splitter.tail:
-            raise UpstreamFailure(
+            raise UpstreamCallError(
                 FailureKind.BROKEN, "the stream ended inside an event"
             )
         if not self.begun:
--- a/packages/amaranthlug/src/amaranthlug/protocol/settings_file.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/settings_file.py
@@ -17,21 +17,33 @@
 Settings = TypeVar("Settings")
 
 
-def load_settings(
-    path: pathlib.Path, kind: type[Settings] = NodeSettings
+def load_settings(path: pathlib.Path) -> Result[NodeSettings, SettingsError]:
+    """Reads and validates a settings file."""
+    return load_settings_as(path, NodeSettings)
+
+
+def load_settings_as(
+    path: pathlib.Path, kind: type[Settings]
 ) -> Result[Settings, SettingsError]:
-    """Reads and validates a settings file of the data class `kind`."""
+    """Reads a settings file of the data class `kind`."""
     try:
         content: Any = yaml.safe_load(path.read_text())
     except (OSError, yaml.YAMLError) as error:
         return Err(SettingsError(f"{path}: cannot be read: {error}"))
-    return parse_settings(str(path), content, kind)
+    return parse_settings_as(str(path), content, kind)
 
 
 def parse_settings(
-    source: str, content: Any, kind: type[Settings] = NodeSettings
-) -> Result[Settings, SettingsError]:
+    source: str, content: Any
+) -> Result[NodeSettings, SettingsError]:
     """Validates settings that were read from `source`."""
+    return parse_settings_as(source, content, NodeSettings)
+
+
+def parse_settings_as(
+    source: str, content: Any, kind: type[Settings]
+) -> Result[Settings, SettingsError]:
+    """Validates settings of the data class `kind`."""
     unknown = unknown_key(content, kind)
     if unknown:
         return Err(
--- a/packages/amaranthlug/src/amaranthlug/state/routing/config.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/config.py
@@ -130,7 +130,7 @@
         limits: CallerLimits,
         keys: dict[str, KeyHolder] | None,
     ) -> "RoutingConfig":
-        """Indexes routes by host, longest prefix first; `keys` None: none asked."""
+        """Indexes routes by host; without `keys` no request needs one."""
         by_host: dict[str, list[Route]] = {}
         for route in routes:
             by_host.setdefault(route.host, []).append(route)
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
@@ -19,7 +19,7 @@
 Headers = list[tuple[str, str]]
 
 
-class AnswerBroken(OSError):
+class BrokenAnswerError(OSError):
     """A connection ended or an answer broke the protocol before its end."""
 
 
@@ -56,16 +56,16 @@
         """Parses bytes.
 
         Raises:
-            AnswerBroken: They are no HTTP answer.
+            BrokenAnswerError: They are no HTTP answer.
         """
         if not self.in_body:
             self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            raise AnswerBroken(f"not an HTTP answer: {error}") from error
+            raise BrokenAnswerError(f"not an HTTP answer: {error}") from error
         if not self.in_body and self.head_bytes > MAX_HEAD_BYTES:
-            raise AnswerBroken("the head of the answer is too large")
+            raise BrokenAnswerError("the head of the answer is too large")
 
     def on_message_begin(self) -> None:
         """Starts an answer."""
@@ -160,7 +160,7 @@
         """
         item = self.next_item(timeout_s)
         if isinstance(item, AnswerHead):
-            raise AnswerBroken("a second answer began inside the first")
+            raise BrokenAnswerError("a second answer began inside the first")
         if item is None:
             self.answering = False
         return item
@@ -176,10 +176,12 @@
                 if parser.in_body and parser.until_close:
                     parser.in_body = False
                     return None
-                raise AnswerBroken("the connection ended before the answer")
+                raise BrokenAnswerError(
+                    "the connection ended before the answer"
+                )
             try:
                 parser.feed(data)
-            except AnswerBroken:
+            except BrokenAnswerError:
                 # Bytes behind a whole answer spoil only the connection.
                 self.reusable = False
                 if not parser.items:
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
@@ -33,7 +33,7 @@
     """The caller closed its connection before the answer."""
 
 
-class RequestRejected(Exception):
+class RejectedRequestError(Exception):
     """A request that breaks the protocol or a limit."""
 
     def __init__(self, status: int, message: str):
@@ -91,7 +91,7 @@
         """Parses bytes.
 
         Raises:
-            RequestRejected: They break the protocol or a limit.
+            RejectedRequestError: They break the protocol or a limit.
         """
         if self.began is None:
             self.began = boot_seconds()
@@ -100,17 +100,19 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
-            raise RequestRejected(400, "upgrades are not supported") from error
+            raise RejectedRequestError(
+                400, "upgrades are not supported"
+            ) from error
         except httptools.HttpParserCallbackError as error:
-            if isinstance(error.__context__, RequestRejected):
+            if isinstance(error.__context__, RejectedRequestError):
                 raise error.__context__ from None
             raise
         except httptools.HttpParserError as error:
-            raise RequestRejected(400, f"not an HTTP request: {error}") from (
-                error
-            )
+            raise RejectedRequestError(
+                400, f"not an HTTP request: {error}"
+            ) from (error)
         if self.in_head and self.head_bytes > self.limits().header_bytes:
-            raise RequestRejected(431, "the request head is too large")
+            raise RejectedRequestError(431, "the request head is too large")
 
     def on_message_begin(self) -> None:
         """Starts a request."""
@@ -137,13 +139,13 @@
         self.in_head = False
         size = sum(len(name) + len(value) + 4 for name, value in self.headers)
         if size + len(self.target) > self.limits().header_bytes:
-            raise RequestRejected(431, "the request head is too large")
+            raise RejectedRequestError(431, "the request head is too large")
 
     def on_body(self, body: bytes) -> None:
         """Keeps a piece of the body within the limit."""
         self.body_bytes += len(body)
         if self.body_bytes > self.limits().body_bytes:
-            raise RequestRejected(413, "the request body is too large")
+            raise RejectedRequestError(413, "the request body is too large")
         self.body.append(body)
 
     def on_message_complete(self) -> None:
@@ -280,7 +282,7 @@
         while True:
             try:
                 found = self.next_request()
-            except RequestRejected as error:
+            except RejectedRequestError as error:
                 self.reject(error)
                 return
             if found is None:
@@ -314,12 +316,12 @@
             return self.sock.recv(READ_BYTES)
         except TimeoutError:
             if begun:
-                raise RequestRejected(408, "the request came too slowly") from (
-                    None
-                )
+                raise RejectedRequestError(
+                    408, "the request came too slowly"
+                ) from (None)
             return b""
 
-    def reject(self, error: RequestRejected) -> None:
+    def reject(self, error: RejectedRequestError) -> None:
         """Answers a request that was not understood and ends the connection."""
         log.info(
             "request rejected: %s",
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -10,7 +10,7 @@
     FailureKind,
     ReplyHead,
     UpstreamCall,
-    UpstreamFailure,
+    UpstreamCallError,
 )
 from amaranthlug.state.routing.servers import ServerEntry
 from amaranthlug.transport.routing.http_client import (
@@ -77,7 +77,7 @@
         """Sends a request.
 
         Raises:
-            UpstreamFailure: It was not sent, or the connection broke.
+            UpstreamCallError: It was not sent, or the connection broke.
         """
         life = call.server.life
         connection = self.take(life, call.repeatable) or self.connect(call)
@@ -92,7 +92,7 @@
             connection.send(data, min(SEND_TIMEOUT_S, max(call.left_s, 0.001)))
         except OSError as error:
             connection.close()
-            raise UpstreamFailure(
+            raise UpstreamCallError(
                 FailureKind.BROKEN, f"sending failed: {error}"
             ) from error
         except BaseException:
@@ -123,13 +123,13 @@
         """Opens a connection.
 
         Raises:
-            UpstreamFailure: It was refused or not established in time.
+            UpstreamCallError: It was refused or not established in time.
         """
         timeout = min(CONNECT_TIMEOUT_S, max(call.left_s, 0.001))
         try:
             return HttpConnection.open(call.server.address, timeout)
         except OSError as error:
-            raise UpstreamFailure(
+            raise UpstreamCallError(
                 FailureKind.NOT_SENT, f"no connection: {error}"
             ) from error
 
@@ -189,7 +189,7 @@
 
         Raises:
             TimeoutError: No head came in time; it may be asked for again.
-            UpstreamFailure: The connection or the answer broke.
+            UpstreamCallError: The connection or the answer broke.
         """
         while True:
             try:
@@ -202,7 +202,7 @@
                 raise
             except (OSError, ValueError) as error:
                 self.close()
-                raise UpstreamFailure(
+                raise UpstreamCallError(
                     FailureKind.BROKEN, f"no answer: {error}"
                 ) from error
 
@@ -249,14 +249,14 @@
 
         Raises:
             TimeoutError: Nothing came in time.
-            UpstreamFailure: The answer broke.
+            UpstreamCallError: The answer broke.
         """
         try:
             return self.sent.connection.read_body(timeout_s)
         except TimeoutError:
             raise
         except OSError as error:
-            raise UpstreamFailure(
+            raise UpstreamCallError(
                 FailureKind.BROKEN, f"the answer broke: {error}"
             ) from error
 
--- /dev/null
+++ b/test/test_routing_knowledge.py
@@ -0,0 +1,352 @@
+"""Knowledge of the store: followers, relays, servers, nodes; no network."""
+
+import json
+import random
+
+import pytest
+from _routing import (
+    FakeClock,
+    FakeStore,
+    a_report,
+    an_entry,
+)
+
+from amaranthlug.coordination.routing.config_source import ConfigSource
+from amaranthlug.coordination.routing.entry_choice import choose_entries
+from amaranthlug.coordination.routing.fleet_view import FleetView
+from amaranthlug.coordination.routing.keyed_store import KeyedRecord
+from amaranthlug.coordination.routing.relay import (
+    Relay,
+    RelayedFollowing,
+    relays_of,
+)
+from amaranthlug.coordination.routing.server_directory import (
+    LAPSE_GRACE_S,
+    ServerDirectory,
+)
+from amaranthlug.coordination.routing.topic_follower import TopicFollower
+from amaranthlug_platform.records import PlatformRecords
+
+
+class Listener:
+    """Keeps what it is told."""
+
+    def __init__(self):
+        """Starts empty."""
+        self.content = {}
+
+    def replace(self, records):
+        """Takes all records."""
+        self.content = {r.key: r.value for r in records}
+
+    def apply(self, record):
+        """Takes one record."""
+        changed = self.content.get(record.key) != record.value
+        self.content[record.key] = record.value
+        return changed
+
+
+def a_follower(store, clock, wait_s=1.0):
+    """Returns a follower and its listener."""
+    listener = Listener()
+    follower = TopicFollower(store, "t", listener, wait_s, clock=clock)
+    return follower, listener
+
+
+def test_follower_takes_newest_then_new_records():
+    """The first reading is whole, later ones go on from there."""
+    store, clock = FakeStore(), FakeClock()
+    store.put("a", b"1")
+    follower, listener = a_follower(store, clock)
+    follower.step()
+    store.put("b", b"2")
+    follower.step()
+    assert listener.content == {"a": b"1", "b": b"2"}
+    assert follower.position == 2
+
+
+def test_age_counts_from_the_sending_of_the_last_reading():
+    """An outage makes knowledge older, whatever was known."""
+    store, clock = FakeStore(), FakeClock()
+    follower, _ = a_follower(store, clock)
+    follower.step()
+    clock.move(3.0)
+    store.down = True
+    follower.step()
+    assert follower.age_s() == 3.0
+    store.down = False
+    follower.step()
+    assert follower.age_s() == 0.0
+
+
+def test_expired_records_lead_to_a_whole_reading():
+    """After the store forgot its history nothing stale is kept."""
+    store, clock = FakeStore(), FakeClock()
+    store.put("a", b"1")
+    follower, listener = a_follower(store, clock)
+    follower.step()
+    store.first, store.records = 7, [KeyedRecord("b", b"2", 7)]
+    follower.step()
+    follower.step()
+    assert listener.content == {"b": b"2"}
+    assert follower.since(0) is None
+
+
+class Direct:
+    """Implements `PeerPort` by calling a relay."""
+
+    def __init__(self, relay):
+        """Wraps a relay."""
+        self.relay = relay
+        self.broken = False
+
+    def exchange(self, address, request, timeout_s):
+        """Returns the relay's answer."""
+        answer = None if self.broken else self.relay.answer(request)
+        if answer is None:
+            raise OSError("no answer")
+        return answer
+
+
+@pytest.fixture
+def pair():
+    """Returns store, clock, reading side and following side."""
+    store, clock = FakeStore(), FakeClock()
+    reading, _ = a_follower(store, clock)
+    fleet = FleetView(FakeStore(), lambda: a_report("n1"), clock)
+    fleet.follower.step()
+    relay = Relay([reading], fleet, lambda: False, clock)
+    following, listener = a_follower(store, clock)
+    child_fleet = FleetView(FakeStore(), lambda: a_report("n2"), clock)
+    peers = Direct(relay)
+    child = RelayedFollowing(
+        "n2", "zone-a", [following], child_fleet, peers, clock
+    )
+    reading.step()
+    following.step()
+    return store, clock, reading, following, listener, child, peers, relay
+
+
+def test_node_learns_from_its_relay_without_the_store(pair):
+    """What a relay read reaches the nodes of its zone."""
+    store, _, reading, following, listener, child, _, _ = pair
+    store.put("a", b"1")
+    reading.step()
+    reads = store.reads
+    assert child.exchange(an_entry("n1"), 0.0)
+    assert listener.content == {"a": b"1"}
+    assert following.position == reading.position
+    assert store.reads == reads
+    assert not following.direct.is_set()
+
+
+def test_removed_keys_reach_the_node(pair):
+    """A removal is news like any other."""
+    store, _, reading, _, listener, child, _, _ = pair
+    store.put("a", b"1")
+    reading.step()
+    child.exchange(an_entry("n1"), 0.0)
+    store.put("a", None)
+    reading.step()
+    child.exchange(an_entry("n1"), 0.0)
+    assert listener.content["a"] is None
+
+
+def test_age_of_the_relay_is_added(pair):
+    """Knowledge does not become younger on its way."""
+    _, clock, _, following, _, child, _, _ = pair
+    clock.move(1.5)
+    child.exchange(an_entry("n1"), 0.0)
+    assert following.age_s() == pytest.approx(1.5)
+
+
+def test_relay_with_old_knowledge_is_left(pair):
+    """A relay that is cut off from the store is not believed."""
+    _, clock, _, following, _, child, _, _ = pair
+    clock.move(5.0)
+    assert not child.exchange(an_entry("n1"), 0.0)
+    assert following.direct.is_set()
+
+
+def test_node_goes_on_at_the_store_when_its_relay_dies(pair):
+    """It reads on from the offset that it knows."""
+    store, _, reading, following, listener, child, peers, _ = pair
+    store.put("a", b"1")
+    reading.step()
+    child.exchange(an_entry("n1"), 0.0)
+    peers.broken = True
+    store.put("b", b"2")
+    assert not child.exchange(an_entry("n1"), 0.0)
+    child.go_direct()
+    assert following.direct.is_set()
+    following.step()
+    assert listener.content == {"a": b"1", "b": b"2"}
+
+
+def test_relay_behind_the_node_takes_nothing_back(pair):
+    """A configuration never goes back because a relay is slower."""
+    store, _, _, following, listener, child, _, _ = pair
+    store.put("a", b"2")
+    following.step()
+    child.exchange(an_entry("n1"), 0.0)
+    assert listener.content == {"a": b"2"}
+    assert following.position == 1
+
+
+def test_relay_reports_its_members(pair):
+    """Other nodes learn of a node through its relay's report."""
+    _, clock, _, _, _, child, _, relay = pair
+    child.exchange(an_entry("n1"), 0.0)
+    names = {entry.node for entry in relay.fleet.own_report().nodes}
+    assert names == {"n1", "n2"}
+    clock.move(2.5)
+    names = {entry.node for entry in relay.fleet.own_report().nodes}
+    assert names == {"n1"}
+
+
+def test_calls_to_the_store_do_not_grow_with_the_nodes():
+    """Of 390 nodes in 5 zones 20 read the store."""
+    nodes = [an_entry(f"n{i}", f"zone-{i % 5}") for i in range(390)]
+    relays = [r for z in range(5) for r in relays_of(nodes, f"zone-{z}")]
+    assert len(relays) == 20
+
+
+def a_server_record(offset=0, **changes):
+    """Returns the record of a server."""
+    body = {
+        "service": "pool",
+        "address": "10.0.0.1:80",
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": offset,
+        **changes,
+    }
+    return KeyedRecord("s1", json.dumps(body).encode(), offset)
+
+
+class Directory:
+    """A server directory with a clock."""
+
+    def __init__(self):
+        """Creates an empty directory without an outage."""
+        self.clock = FakeClock()
+        self.regained_at = 0.0
+        self.servers = ServerDirectory(
+            PlatformRecords(), lambda: self.regained_at, self.clock
+        )
+
+
+def test_draining_server_gets_nothing_new():
+    """A server that says it leaves is left at once."""
+    directory = Directory()
+    directory.servers.apply(a_server_record())
+    assert len(directory.servers.usable("pool")) == 1
+    directory.servers.apply(a_server_record(1, state="draining"))
+    assert directory.servers.usable("pool") == []
+
+
+def test_removed_server_gets_nothing_new():
+    """A server whose entry is removed is left at once."""
+    directory = Directory()
+    directory.servers.apply(a_server_record())
+    directory.servers.apply(KeyedRecord("s1", None, 1))
+    assert directory.servers.usable("pool") == []
+
+
+def test_entry_that_lapsed_in_an_outage_is_used_a_moment_longer():
+    """Live servers are back within 2 s of the store's return."""
+    directory = Directory()
+    directory.servers.apply(a_server_record())
+    directory.regained_at = directory.clock.now
+    directory.servers.apply(KeyedRecord("s1", None, 1))
+    assert len(directory.servers.usable("pool")) == 1
+    directory.clock.move(LAPSE_GRACE_S + 0.1)
+    assert directory.servers.usable("pool") == []
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "resting"},
+        {"slots": "eight"},
+        {"address": 7},
+        {"address": "nowhere"},
+        {"service": None},
+        {"born": 1.5},
+    ],
+)
+def test_unreadable_entry_names_no_server(changes):
+    """An entry of another writer is passed over; the others hold."""
+    directory = Directory()
+    directory.servers.apply(a_server_record(**changes))
+    assert directory.servers.usable("pool") == []
+
+
+def test_bytes_that_are_no_json_name_no_server():
+    """A record of any bytes is passed over."""
+    directory = Directory()
+    assert not directory.servers.apply(KeyedRecord("s9", b"\xff\x00", 0))
+
+
+def test_second_life_under_an_identity_is_another_server():
+    """`born` tells two lives apart."""
+    directory = Directory()
+    directory.servers.apply(a_server_record(born=1))
+    first = directory.servers.usable("pool")[0]
+    directory.servers.apply(a_server_record(1, born=2))
+    assert not directory.servers.is_usable(first)
+    assert directory.servers.usable("pool")[0].life == ("s1", 2)
+
+
+def test_heartbeat_without_a_change_is_no_news():
+    """Only what changes is passed on to other nodes."""
+    directory = Directory()
+    assert directory.servers.apply(a_server_record())
+    assert not directory.servers.apply(a_server_record(1))
+
+
+def a_config_record(version, offset):
+    """Returns the record of a configuration."""
+    body = {"version": version, "routes": [], "services": []}
+    return KeyedRecord("config", json.dumps(body).encode(), offset)
+
+
+def test_configuration_never_goes_back():
+    """An older record that comes late changes nothing."""
+    source = ConfigSource(PlatformRecords())
+    source.apply(a_config_record(9, 5))
+    source.apply(a_config_record(7, 3))
+    assert source.config.version == 9
+
+
+def test_unreadable_configuration_keeps_the_last():
+    """Serving goes on with the last readable configuration."""
+    source = ConfigSource(PlatformRecords())
+    source.apply(a_config_record(9, 5))
+    source.apply(KeyedRecord("config", b'{"version": "x"}', 6))
+    assert source.config.version == 9
+
+
+def test_callers_are_told_of_serving_nodes_only():
+    """A leaving node is not named."""
+    nodes = [an_entry("n1"), an_entry("n2", serving=False)]
+    assert choose_entries(nodes, "zone-a", "region", random.Random(1)) == [
+        "n1:80"
+    ]
+
+
+def test_callers_stay_in_their_zone_if_it_has_enough_nodes():
+    """Bytes between zones are saved."""
+    nodes = [an_entry(f"n{i}", f"zone-{'ab'[i % 2]}") for i in range(8)]
+    found = choose_entries(nodes, "zone-a", "region", random.Random(1))
+    assert sorted(found) == ["n0:80", "n2:80", "n4:80", "n6:80"]
+
+
+def test_zone_with_one_node_names_the_others_too():
+    """The loss of one node must not leave callers without any."""
+    nodes = [an_entry("n0"), an_entry("n1", "zone-b"), an_entry("n2", "zone-b")]
+    found = choose_entries(nodes, "zone-a", "region", random.Random(1))
+    assert len(found) == 3
--- /dev/null
+++ b/test/test_routing_placement.py
@@ -0,0 +1,211 @@
+"""Load patterns that the choice of a server answers; no network."""
+
+import collections
+
+import pytest
+from _routing import FakeClock, a_request, a_server
+
+from amaranthlug.protocol.routing.engine_queues import (
+    EngineQueues,
+    ModelPace,
+)
+from amaranthlug.protocol.routing.messages import PromptPart, ServerLoad
+from amaranthlug.protocol.routing.placement import Placement
+from amaranthlug.protocol.routing.server_health import (
+    MAX_REST_S,
+    HealthBook,
+)
+
+
+class Pool:
+    """A placement over servers `s0` to `sN`."""
+
+    def __init__(self, count: int = 4, zones: int = 1):
+        """Creates idle servers."""
+        self.clock = FakeClock()
+        self.health = HealthBook(self.clock)
+        self.queues = EngineQueues(self.clock)
+        self.servers = [
+            a_server(f"s{i}", zone=f"zone-{'abcd'[i % zones]}")
+            for i in range(count)
+        ]
+        self.placement = Placement(
+            "zone-a", self.health, self.queues, lambda s: 0.0, seed=1
+        )
+
+    def engine(self, **request):
+        """Returns the engine chosen for a request."""
+        return self.placement.pick_engine(
+            self.servers, set(), a_request(**request), "m"
+        )
+
+    def plain(self, tried=frozenset()):
+        """Returns the plain server chosen."""
+        return self.placement.pick_plain(self.servers, set(tried))
+
+    def see_head(self, server, tokens: int, took_s: float) -> None:
+        """Lets an engine begin an answer after a time."""
+        ticket = self.queues.sent(server, "m", tokens)
+        self.clock.move(took_s)
+        self.queues.began(server, "m", tokens, ticket)
+
+
+@pytest.fixture
+def pool():
+    """Returns a pool of four servers in one zone."""
+    return Pool()
+
+
+def test_long_prompts_meet_short_ones(pool):
+    """An engine that reads a long prompt gets no short one behind it."""
+    busy = pool.engine(prompt=())
+    pool.queues.sent(busy, "m", 50_000)
+    chosen = {pool.engine(prompt=()).server_id for _ in range(40)}
+    assert busy.server_id not in chosen
+
+
+def test_queue_caused_by_other_nodes_is_seen_by_late_first_events(pool):
+    """What others sent is unknown; a late first event shows it."""
+    slow = pool.servers[0]
+    pool.see_head(slow, 100, 2.0)
+    chosen = {pool.engine(prompt=()).server_id for _ in range(40)}
+    assert slow.server_id not in chosen
+
+
+def test_seen_queue_fades(pool):
+    """An engine that was behind some seconds ago is used again."""
+    slow = pool.servers[0]
+    pool.see_head(slow, 100, 2.0)
+    pool.clock.move(12.0)
+    chosen = {pool.engine(prompt=()).server_id for _ in range(60)}
+    assert slow.server_id in chosen
+
+
+def test_overdue_first_event_counts_before_it_comes(pool):
+    """A silent engine is avoided while its first event is overdue."""
+    slow = pool.servers[1]
+    pool.queues.sent(slow, "m", 100)
+    pool.clock.move(1.0)
+    chosen = {pool.engine(prompt=()).server_id for _ in range(40)}
+    assert slow.server_id not in chosen
+
+
+def test_subject_returns_to_the_engine_that_keeps_it(pool):
+    """Long shared parts are worth a small difference of load."""
+    prompt = (PromptPart("subject", 6_000), PromptPart("own", 100))
+    first = pool.engine(prompt=prompt)
+    assert {pool.engine(prompt=prompt).server_id for _ in range(20)} == {
+        first.server_id
+    }
+
+
+def test_nodes_that_do_not_talk_choose_the_same_keeper():
+    """The order of keepers depends on the subject alone."""
+    prompt = (PromptPart("subject", 6_000), PromptPart("own", 100))
+    assert (
+        Pool().engine(prompt=prompt).server_id
+        == Pool().engine(prompt=prompt).server_id
+    )
+
+
+def test_one_subject_is_hot(pool):
+    """A hot subject spreads as soon as its keeper falls behind."""
+    prompt = (PromptPart("hot", 2_000), PromptPart("own", 100))
+    seen = collections.Counter()
+    for _ in range(60):
+        server = pool.engine(prompt=prompt)
+        pool.queues.sent(server, "m", 2_100)
+        pool.health.began(server)
+        seen[server.server_id] += 1
+    assert len(seen) == len(pool.servers)
+    assert max(seen.values()) <= 60 / len(pool.servers) * 1.5
+
+
+def test_stale_reports_fade():
+    """A load that was reported long ago does not keep work away."""
+    pool = Pool(2)
+    pool.health.note_load(pool.servers[0], ServerLoad(40, 0, 8))
+    assert {pool.plain().server_id for _ in range(20)} == {"s1"}
+    pool.clock.move(5.0)
+    assert {pool.plain().server_id for _ in range(40)} == {"s0", "s1"}
+
+
+def test_bytes_between_zones_are_saved_while_load_is_even():
+    """Plain requests stay in the zone of the node."""
+    pool = Pool(4, zones=4)
+    assert {pool.plain().zone for _ in range(40)} == {"zone-a"}
+
+
+def test_full_zone_spills_to_the_others():
+    """A zone whose server is busy does not keep its requests."""
+    pool = Pool(4, zones=4)
+    for _ in range(16):
+        pool.health.began(pool.servers[0])
+    assert "zone-a" not in {pool.plain().zone for _ in range(20)}
+
+
+def test_failing_server_gets_single_trials(pool):
+    """A server that fails while its health check is good is left alone."""
+    bad = pool.servers[2]
+    for _ in range(4):
+        pool.health.note_outcome(bad, True)
+    assert bad not in [pool.plain() for _ in range(40)]
+    pool.clock.move(MAX_REST_S)
+    assert pool.plain() == bad
+    pool.health.began(bad)
+    assert bad not in [pool.plain() for _ in range(40)]
+
+
+def test_recovered_server_gets_work_again(pool):
+    """Successful trials end the rest."""
+    bad = pool.servers[2]
+    for _ in range(4):
+        pool.health.note_outcome(bad, True)
+    for _ in range(8):
+        pool.health.note_outcome(bad, False)
+    assert not pool.health.is_bad(pool.health.of(bad))
+
+
+def test_all_servers_fail(pool):
+    """With no good server the bad ones are still asked."""
+    for server in pool.servers:
+        for _ in range(4):
+            pool.health.note_outcome(server, True)
+    assert pool.plain() is not None
+
+
+def test_slow_but_healthy_server_gets_less(pool):
+    """A server at a third of the others' pace is left to the last."""
+    for server in pool.servers:
+        pool.health.note_pace(server, 300.0 if server.server_id == "s3" else 90)
+    assert "s3" not in {pool.plain().server_id for _ in range(40)}
+
+
+def test_second_life_under_the_same_identity_starts_clean(pool):
+    """What was learnt of a former life does not hold for the next."""
+    old = pool.servers[0]
+    for _ in range(6):
+        pool.health.note_outcome(old, True)
+    pool.see_head(old, 100, 3.0)
+    born = a_server("s0", started_ms=2)
+    assert pool.health.of(born).failure_share == 0.0
+    assert pool.queues.wait_ms(born) == 0.0
+
+
+def test_tried_servers_are_left_out(pool):
+    """A repeat goes to another server."""
+    tried = {server.life for server in pool.servers[:3]}
+    assert pool.plain(tried) == pool.servers[3]
+    tried.add(pool.servers[3].life)
+    assert pool.plain(tried) is None
+
+
+def test_pace_learns_the_time_without_a_queue():
+    """Queues make times longer, never shorter: the low quantile counts."""
+    pace = ModelPace()
+    for turn in range(400):
+        queue = 0.0 if turn % 2 else 800.0
+        pace.learn(300, 60 + queue)
+        pace.learn(6_000, 60 + 6_000 * 0.024 + queue)
+    assert 50 <= pace.start_ms <= 90
+    assert 0.018 <= pace.read_ms <= 0.032
