--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
@@ -38,6 +38,9 @@
 """Least time between two exchanges, in seconds."""
 DIRECT_S = 1.0
 """Time after which a node without a relay looks for one again, in seconds."""
+FIRST_LOOK_S = 0.25
+"""Time after its first report at which a node looks for a relay, in seconds;
+by then the reports of nodes that started with it are in the store."""
 WATCH_S = 0.05
 """Period in which a held exchange looks for changes, in seconds."""
 
@@ -255,13 +258,15 @@
 
     def run(self) -> None:
         """Exchanges with a relay while there is one."""
+        gevent.sleep(FIRST_LOOK_S)
+        self.fleet.follower.step()
         while True:
-            gevent.sleep(DIRECT_S)
             while (relay := self.choose()) is not None:
                 began = self.clock()
                 if self.exchange(relay, HOLD_S):
                     gevent.sleep(max(0.0, PACE_S - (self.clock() - began)))
             self.go_direct()
+            gevent.sleep(DIRECT_S)
 
     def choose(self) -> NodeEntry | None:
         """Returns the relay to ask; None if this node reads the store."""
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -23,6 +23,9 @@
 one moment."""
 FRESH_MARGIN_S = 0.4
 """Time by which two undisturbed reads may last longer, in seconds."""
+FIRST_PAUSE_S = 0.6
+"""Pause after the first reading, in seconds; a node that finds a relay within
+it makes no second call."""
 MAX_REMOVED = 2_000
 """Removed keys that are remembered; a node that is further behind takes the
 whole topic."""
@@ -114,8 +117,9 @@
         """Reads until stopped, but not while another node reads for this."""
         while True:
             self.direct.wait()
+            first = self.position is None
             if self.step():
-                gevent.sleep(self.pause_s)
+                gevent.sleep(FIRST_PAUSE_S if first else self.pause_s)
             else:
                 gevent.sleep(random.uniform(*RETRY_S))
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/retry_budget.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/retry_budget.py
@@ -31,10 +31,12 @@
         self.burst = burst
         self.random = random.Random(seed)
         self.total = burst
+        self.first_sendings = 0
         self.upstreams: OrderedDict[str, float] = OrderedDict()
 
     def earn(self, address: str) -> None:
         """Counts a first attempt that goes to an upstream."""
+        self.first_sendings += 1
         self.total = min(self.burst, self.total + self.share)
         left = self.upstreams.get(address, self.burst)
         self.keep(address, min(self.burst, left + self.share))
@@ -48,10 +50,11 @@
         self.keep(address, left - 1)
         return True
 
-    def has(self, address: str) -> bool:
-        """Tells whether `take` would succeed."""
-        return self.total >= 1 and (
-            self.upstreams.get(address, self.burst) >= 1
+    def has(self, address: str, reserve: float = 0.0) -> bool:
+        """Tells whether `take` would succeed and leave `reserve` of a burst."""
+        least = 1 + reserve * self.burst
+        return self.total >= least and (
+            self.upstreams.get(address, self.burst) >= least
         )
 
     def keep(self, address: str, left: float) -> None:
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -1,5 +1,6 @@
 """A node that answers routed requests: parts, start, stop, status."""
 
+import collections
 import dataclasses
 import logging
 import random
@@ -61,7 +62,7 @@
 reconnection fit into the time after which a withdrawn key must not work."""
 SERVERS_WAIT_S = 1.2
 """Longest wait of one read of server entries, in seconds."""
-SERVERS_PAUSE_S = 0.2
+SERVERS_PAUSE_S = 0.35
 """Pause between reads of server entries, in seconds: servers write theirs
 about once a second each, and nothing new may go to a leaving one after 2 s."""
 STATUS_WAIT_S = 4.0
@@ -82,6 +83,8 @@
 seconds: callers may keep an address for twice its time to live."""
 KILL_MARGIN_S = 0.4
 """Time before the kill at which the process ends by itself, in seconds."""
+ANNOUNCE_S = 3.0
+"""Longest wait for a configuration before the first report, in seconds."""
 CHECK_S = 0.1
 """Period of checks during a stop, in seconds."""
 BUDGET_USE = 0.8
@@ -170,6 +173,9 @@
         self.queues = EngineQueues(boot_seconds)
         self.upstreams = Upstreams(headers)
         self.budget = RetryBudget(seed=settings.seed)
+        self.sendings_seen: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self.sessions = SessionVersions(boot_seconds, settings.bounds.session_s)
         tools = ExchangeTools(
             port=self.upstreams,
@@ -209,17 +215,24 @@
         self.share_budget()
         for follower in self.followers:
             follower.start()
-        self.following.start()
         self.timers.every("report", REPORT_S, self.exchange)
         self.timers.every("rollouts", CONTROL_S, self.control)
         self.timers.every("tidy", TIDY_S, self.tidy)
-        gevent.spawn(self.exchange)
+        gevent.spawn(self.announce)
         log.info(
             "node %s starts",
             self.settings.name,
             extra={"event": "start", "incarnation": self.incarnation},
         )
 
+    def announce(self) -> None:
+        """Reports as soon as callers may be sent here, then finds a relay."""
+        began = boot_seconds()
+        while not self.is_ready() and boot_seconds() - began < ANNOUNCE_S:
+            gevent.sleep(CHECK_S / 5)
+        self.fleet.exchange()
+        self.following.start()
+
     def exchange(self) -> None:
         """Reports to the store, unless a relay does so for this node."""
         if self.following.relay is None:
@@ -243,10 +256,16 @@
         """Takes this node's part of the fleet's retry budget."""
         bounds = self.settings.bounds
         nodes = max(1, len(self.fleet.nodes()))
+        sent, now = self.budget.first_sendings, boot_seconds()
+        self.sendings_seen.append((now, sent))
+        while now - self.sendings_seen[0][0] > bounds.retry_window_s:
+            self.sendings_seen.popleft()
+        in_window = sent - self.sendings_seen[0][1]
+        saved = bounds.retry_allowance * BUDGET_USE / nodes
         self.budget.share = bounds.retry_share * BUDGET_USE
-        self.budget.burst = max(
-            1.0, bounds.retry_allowance * BUDGET_USE / nodes
-        )
+        # What the share leaves of the fleet's budget may be saved up too.
+        rest = bounds.retry_share - self.budget.share
+        self.budget.burst = max(1.0, saved + rest * in_window)
 
     def is_ready(self) -> bool:
         """Tells whether callers may be sent here."""
