--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
@@ -174,7 +174,7 @@
     def is_able(self) -> bool:
         """Tells whether this node's knowledge is its own and fresh."""
         return not self.is_leaving() and all(
-            follower.direct.is_set() and follower.is_fresh(follower.age_s())
+            follower.direct.is_set() and follower.is_undisturbed()
             for follower in self.followers
         )
 
@@ -187,7 +187,7 @@
             return None
         began = self.clock()
         self.fleet.take_member(request.report)
-        while not self.has_news(request):
+        while self.is_able() and not self.has_news(request):
             if self.clock() - began >= request.hold_s:
                 break
             gevent.sleep(WATCH_S)
@@ -303,11 +303,6 @@
         except OSError as error:
             self.leave(relay, str(error))
             return False
-        for follower in self.followers:
-            update = answer.topics.get(follower.topic)
-            if update is None or not follower.is_fresh(update.age_s):
-                self.leave(relay, f"its knowledge of {follower.topic} is old")
-                return False
         self.take(relay, answer, sent)
         return True
 
@@ -323,7 +318,9 @@
         # The answer was formed at least this long after it was asked for.
         formed = sent + answer.held_s
         for follower in self.followers:
-            update = answer.topics[follower.topic]
+            update = answer.topics.get(follower.topic)
+            if update is None:
+                continue
             follower.direct.clear()
             records = [record.unpack() for record in update.records]
             if update.whole:
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -21,8 +21,9 @@
 """Range of the wait after a failed read, in seconds: short against the 2 s in
 which a configuration must be in force, spread so that nodes do not return at
 one moment."""
-FRESH_MARGIN_S = 0.4
-"""Time by which two undisturbed reads may last longer, in seconds."""
+READ_MARGIN_S = 0.2
+"""Time by which an undisturbed read may last longer than asked, in seconds;
+the store usually answers within 10 ms."""
 FIRST_PAUSE_S = 0.6
 """Pause after the first reading, in seconds; a node that finds a relay within
 it makes no second call."""
@@ -52,6 +53,7 @@
         position: Offset from which to read on; None before the first reading.
         confirmed_at: Boot clock at which the read was sent that last reached
             the end of the topic, in seconds; minus infinity before the first.
+        sent_at: Boot clock at which the present read was sent, in seconds.
         lost_at: Boot clock at the first failed read of the present outage.
         regained_at: Boot clock at the end of the last outage.
         newest: The record that last changed anything, for each key.
@@ -87,6 +89,7 @@
         self.clock = clock
         self.position: int | None = None
         self.confirmed_at = -math.inf
+        self.sent_at = -math.inf
         self.lost_at: float | None = None
         self.regained_at = -math.inf
         self.newest: dict[str, KeyedRecord] = {}
@@ -109,9 +112,16 @@
         """Returns the age of the knowledge of this topic, in seconds."""
         return self.clock() - self.confirmed_at
 
-    def is_fresh(self, age_s: float) -> bool:
-        """Tells whether knowledge of this age is that of undisturbed reads."""
-        return age_s < 2 * self.wait_s + self.pause_s + FRESH_MARGIN_S
+    def is_undisturbed(self) -> bool:
+        """Tells whether the present read is not overdue and none failed.
+
+        A node that reads for others must say at once that it cannot, since a
+        new configuration has to be in force 2 s after it was written.
+        """
+        if self.lost_at is not None or self.position is None:
+            return False
+        reading = self.clock() - self.sent_at
+        return reading < self.wait_s + self.pause_s + READ_MARGIN_S
 
     def run(self) -> None:
         """Reads until stopped, but not while another node reads for this."""
@@ -125,11 +135,13 @@
 
     def step(self) -> bool:
         """Reads once; False if the store did not answer."""
-        sent = self.clock()
+        sent = self.sent_at = self.clock()
         position = self.position
         if position is None:
             return self.load(sent)
-        result = self.store.read(self.topic, position, self.wait_s)
+        # After a failure the first answer should come at once.
+        wait_s = self.wait_s if self.lost_at is None else 0.0
+        result = self.store.read(self.topic, position, wait_s)
         if isinstance(result, Err):
             return self.failed(result.err_value)
         page = result.ok_value
--- a/packages/amaranthlug/src/amaranthlug/protocol/retry_budget.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/retry_budget.py
@@ -51,8 +51,8 @@
         return True
 
     def has(self, address: str, reserve: float = 0.0) -> bool:
-        """Tells whether `take` would succeed and leave `reserve` of a burst."""
-        least = 1 + reserve * self.burst
+        """Tells whether `take` would succeed and leave `reserve` retries."""
+        least = 1 + reserve
         return self.total >= least and (
             self.upstreams.get(address, self.burst) >= least
         )
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -35,9 +35,9 @@
 versions are compared; both versions are held to the same measure."""
 MIN_PACE_EVENTS = 5
 """Events of a stream from which on its pace is measured."""
-FAILURE_RESERVE = 0.25
-"""Part of the saved-up repeats that only failures may use; a weak answer is
-still an answer."""
+FAILURE_RESERVE = 1.0
+"""Saved-up repeats that only failures may use; a weak answer is still an
+answer."""
 MAX_URGENCY = 9
 """Lowest urgency that engines know."""
 
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -57,7 +57,7 @@
 from amaranthlug.transport.routing.text_metrics import TextMetrics
 from amaranthlug.transport.routing.upstreams import HeaderCodec, Upstreams
 
-CONFIG_WAIT_S = 1.2
+CONFIG_WAIT_S = 1.0
 """Longest wait of one read of the configuration, in seconds; two reads and a
 reconnection fit into the time after which a withdrawn key must not work."""
 SERVERS_WAIT_S = 1.2
@@ -78,9 +78,10 @@
 way from the check to the server."""
 ENTRY_TTL_S = 1.5
 """Time for which callers may keep addresses, in seconds."""
-LINGER_S = 3.2
+LINGER_S = 2.6
 """Time after a signal to stop in which new requests are still taken, in
-seconds: callers may keep an address for twice its time to live."""
+seconds: callers keep an address for its time to live, and what is taken so
+soon has the rest of the grace to end."""
 KILL_MARGIN_S = 0.4
 """Time before the kill at which the process ends by itself, in seconds."""
 ANNOUNCE_S = 3.0
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers: strict framing, whole bodies, early leavers."""
 
 import collections
+import contextlib
 import dataclasses
 import http
 import logging
@@ -238,7 +239,9 @@
         self.handler = handler
         self.limits = limits
         self.draining = False
+        self.closing = False
         self.running = 0
+        self.idle: set[socket.socket] = set()
         self.pool = Pool(max_connections)
         self.server = StreamServer(
             split_address(address), self.serve, backlog=BACKLOG, spawn=self.pool
@@ -253,8 +256,12 @@
         self.server.start()
 
     def stop_accepting(self) -> None:
-        """Closes the listener; open connections go on."""
+        """Closes the listener and idle connections; requests go on."""
+        self.closing = True
         self.server.close()
+        for sock in list(self.idle):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
 
     def serve(self, sock: socket.socket, peer: object) -> None:
         """Reads the requests of one connection until it ends."""
@@ -312,6 +319,10 @@
         self.sock.settimeout(
             limits.header_timeout_s if begun else limits.idle_timeout_s
         )
+        if not begun and self.server.closing:
+            return b""
+        if not begun:
+            self.server.idle.add(self.sock)
         try:
             return self.sock.recv(READ_BYTES)
         except TimeoutError:
--- a/test/test_platform_path.py
+++ b/test/test_platform_path.py
@@ -397,6 +397,22 @@
         fleet.stop()
 
 
+def test_stopped_listener_closes_idle_connections(fleet):
+    """A kept connection brings no request to a node that is about to end."""
+    node, border = fleet.nodes[0], fleet.borders[0]
+    connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
+    headers = [
+        ("Host", "svc.example"),
+        ("Attempt-Id", "kept"),
+        ("Authorization", f"Bearer {KEY}"),
+    ]
+    connection.send(render_request("GET", "/safe/x", headers, b""), 1.0)
+    assert read_answer(connection).status == 200
+    assert connection.is_quiet()
+    border.callers.stop_accepting()
+    wait_for(lambda: not connection.is_quiet(), 0.5)
+
+
 def test_every_request_leaves_a_line_with_its_decisions(fleet):
     """The line names servers, outcome and the age of the configuration."""
     fleet.servers[0].faults.lose_answers = True
