--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
@@ -329,8 +329,10 @@
             if begun:
                 raise RejectedRequestError(
                     408, "the request came too slowly"
-                ) from (None)
+                ) from None
             return b""
+        finally:
+            self.server.idle.discard(self.sock)
 
     def reject(self, error: RejectedRequestError) -> None:
         """Answers a request that was not understood and ends the connection."""
--- a/test/test_platform_path.py
+++ b/test/test_platform_path.py
@@ -353,7 +353,7 @@
 
 def test_leaving_node_cuts_no_request():
     """Running streams end whole, and callers are sent elsewhere at once."""
-    fleet = PlatformFleet(nodes=2, events=40, event_s=0.04)
+    fleet = PlatformFleet(nodes=2, events=40, event_s=0.1)
     try:
         node, border = fleet.nodes[0], fleet.borders[0]
         directory = fleet.nodes[1].settings.addresses.directory
