--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -95,6 +95,7 @@
             a_wire_route(
                 "/stream/",
                 "streaming",
+                timeout_ms=20_000,
                 stream_resume=True,
                 gap_aim_ms=600,
                 sizes=["small", "middle", "large"],
