--- a/packages/amaranthlug-ui/src/amaranthlug_ui/main.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/main.py
@@ -1,6 +1,7 @@
 """The operators' command `amaranthlug`: check, publish, withdraw, bill."""
 
 import pathlib
+import sys
 from collections.abc import Callable
 from typing import Any, ClassVar, TypeVar
 
@@ -18,7 +19,9 @@
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.protocol.config_folder import ConfigFolder, load_folder
 from amaranthlug.protocol.folder_base import load_base, save_base
+from amaranthlug.protocol.settings_file import load_settings_as
 from amaranthlug.state.bill_report import BillReport
+from amaranthlug.state.routing.settings import RoutedNodeSettings
 from amaranthlug_ui import connections
 from amaranthlug_ui.lazy_group import LazyGroup
 
@@ -84,6 +87,8 @@
         "experiment": "amaranthlug_ui.experiment",
         "demo": "amaranthlug_ui.demo",
         "history": "amaranthlug_ui.history",
+        "explain": "amaranthlug_ui.explain",
+        "fleet": "amaranthlug_platform.fleet",
     }
 
 
@@ -100,6 +105,19 @@
     click.echo(f"{folder}: {len(loaded.parts)} parts, no errors")
 
 
+@main.command("check-settings")
+@click.argument(
+    "file", type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+)
+def check_settings(file: pathlib.Path) -> None:
+    """Checks the settings FILE of a node that answers routed requests."""
+    loaded = load_settings_as(file, RoutedNodeSettings)
+    if isinstance(loaded, Err):
+        click.echo(str(loaded.err_value), err=True)
+        sys.exit(EXIT_INVALID)
+    click.echo(f"{file}: settings of {loaded.ok_value.name}, no errors")
+
+
 @main.command()
 @FOLDER
 @OPERATOR
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -200,6 +200,7 @@
     ) -> None:
         """Adds a sending to the trace."""
         health = self.tools.health.of(server)
+        self.tools.metrics.incr(f"sendings.{outcome}")
         self.context.trace.attempts.append(
             {
                 "server": server.server_id,
--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -116,7 +116,7 @@
 class PlatformFleet:
     """Store, servers and nodes over loopback."""
 
-    def __init__(self, nodes: int = 1, servers: int = 2, **server):
+    def __init__(self, nodes: int = 1, servers: int = 2, lines=None, **server):
         """Starts everything and waits until the nodes are ready."""
         self.store = StoreStandIn(free_address())
         self.store.start()
@@ -127,7 +127,7 @@
             ).start()
             for i in range(servers)
         ]
-        self.lines = Lines()
+        self.lines = lines or Lines()
         self.nodes: list[RoutedNode] = []
         self.borders: list[Border] = []
         for _ in range(nodes):
