--- a/test/test_design_page.py
+++ b/test/test_design_page.py
@@ -4,7 +4,7 @@
 
 from _common import ROOT, SOURCE
 
-NAMED = re.compile(r"`((?:state|coordination|protocol|transport)/\w+\.py)`")
+NAMED = re.compile(r"`((?:state|coordination|protocol|transport)/[\w/]+\.py)`")
 
 
 def test_page_names_exactly_the_modules():
@@ -14,7 +14,7 @@
     found = {
         path.relative_to(SOURCE).as_posix()
         for layer in layers
-        for path in (SOURCE / layer).glob("*.py")
+        for path in (SOURCE / layer).rglob("*.py")
         if path.name != "__init__.py"
     }
     assert named - found == set()
