--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 FIRST ?= 1
 export PYTHONPATH := $(CURDIR)/packages/amaranthlug/src:$(CURDIR)/packages/amaranthlug-ui/src:$(CURDIR)/packages/amaranthlug-standins/src:$(CURDIR)/platform
 
-.PHONY: setup test demo bench check format soak
+.PHONY: setup test demo bench check format soak platform-soak
 
 $(VENV)/.installed: requirements.txt packages/*/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -33,6 +33,10 @@
 	$(BIN)/python -m amaranthlug_standins.soak --first $(FIRST) \
 	  --seeds $(SEEDS) --out out
 
+platform-soak: setup
+	$(BIN)/python -m amaranthlug_platform_standins.soak --first $(FIRST) \
+	  --seeds $(SEEDS)
+
 check: setup
 	$(BIN)/ruff format --check $(CODE)
 	$(BIN)/ruff check $(CODE)
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
@@ -381,6 +381,8 @@
     def watch(self, worker: gevent.Greenlet) -> None:
         """Ends the handler when the caller closes; keeps pipelined bytes."""
         while len(self.ahead) < MAX_PIPELINED_BYTES:
+            if self.sock.fileno() < 0:
+                return  # The handler closed the connection itself.
             try:
                 gevent.socket.wait_read(self.sock.fileno())
                 data = self.sock.recv(READ_BYTES)
