--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -130,7 +130,6 @@
         self.random = random.Random(settings.seed)
         self.incarnation = uuid.uuid4().hex[:12]
         self.leaving = False
-        self.running = 0
         self.asked_to_stop = Event()
         self.config = ConfigSource(codec)
         self.config_follower = TopicFollower(
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
@@ -240,7 +240,6 @@
         self.limits = limits
         self.draining = False
         self.closing = False
-        self.running = 0
         self.idle: set[socket.socket] = set()
         self.pool = Pool(max_connections)
         self.server = StreamServer(
@@ -256,12 +255,20 @@
         self.server.start()
 
     def stop_accepting(self) -> None:
-        """Closes the listener and idle connections; requests go on."""
+        """Closes the listener and idle connections; requests go on.
+
+        Only reading ends, so a request that has just arrived on an idle
+        connection is still answered.
+        """
         self.closing = True
         self.server.close()
         for sock in list(self.idle):
             with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+                sock.shutdown(socket.SHUT_RD)
+
+    def busy(self) -> int:
+        """Returns the connections on which a request is read or answered."""
+        return len(self.pool) - len(self.idle)
 
     def serve(self, sock: socket.socket, peer: object) -> None:
         """Reads the requests of one connection until it ends."""
@@ -319,8 +326,6 @@
         self.sock.settimeout(
             limits.header_timeout_s if begun else limits.idle_timeout_s
         )
-        if not begun and self.server.closing:
-            return b""
         if not begun:
             self.server.idle.add(self.sock)
         try:
@@ -358,7 +363,6 @@
             self.sock, lambda: keep_alive and not server.draining
         )
         self.sock.settimeout(WRITE_TIMEOUT_S)
-        server.running += 1
         worker = gevent.spawn(self.handle, request, responder)
         watcher = gevent.spawn(self.watch, worker)
         try:
@@ -366,7 +370,6 @@
         finally:
             watcher.kill()
             worker.kill(CallerGone)
-            server.running -= 1
         return responder.ended and responder.keep
 
     def handle(self, request: IncomingRequest, responder: Responder) -> None:
--- a/test/test_platform_path.py
+++ b/test/test_platform_path.py
@@ -413,6 +413,27 @@
     wait_for(lambda: not connection.is_quiet(), 0.5)
 
 
+def test_request_that_is_being_read_is_answered_before_the_end(fleet):
+    """The process must not end between reading and answering it."""
+    node, border = fleet.nodes[0], fleet.borders[0]
+    connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
+    headers = [
+        ("Host", "svc.example"),
+        ("Attempt-Id", "halfway"),
+        ("Authorization", f"Bearer {KEY}"),
+    ]
+    data = render_request("GET", "/safe/x", headers, b"")
+    connection.send(data[:40], 1.0)
+    wait_for(lambda: border.running() == 1, 1.0)
+    border.begin_drain()
+    border.callers.stop_accepting()
+    gevent.sleep(0.1)
+    assert border.running() == 1
+    connection.send(data[40:], 1.0)
+    assert read_answer(connection).status == 200
+    wait_for(lambda: border.running() == 0, 1.0)
+
+
 def test_every_request_leaves_a_line_with_its_decisions(fleet):
     """The line names servers, outcome and the age of the configuration."""
     fleet.servers[0].faults.lose_answers = True
