--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
@@ -241,6 +241,7 @@
         self.draining = False
         self.closing = False
         self.idle: set[socket.socket] = set()
+        self.ended: set[socket.socket] = set()
         self.pool = Pool(max_connections)
         self.server = StreamServer(
             split_address(address), self.serve, backlog=BACKLOG, spawn=self.pool
@@ -263,6 +264,7 @@
         self.closing = True
         self.server.close()
         for sock in list(self.idle):
+            self.ended.add(sock)
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RD)
 
@@ -278,6 +280,7 @@
         except (OSError, CallerGone):
             pass  # The caller left; its request was logged by the handler.
         finally:
+            self.ended.discard(sock)
             sock.close()
 
 
@@ -392,6 +395,7 @@
             except OSError:
                 data = b""
             if not data:
-                worker.kill(CallerGone, block=False)
+                if self.sock not in self.server.ended:
+                    worker.kill(CallerGone, block=False)
                 return
             self.ahead += data
--- a/test/test_platform_path.py
+++ b/test/test_platform_path.py
@@ -434,6 +434,23 @@
     wait_for(lambda: border.running() == 0, 1.0)
 
 
+def test_request_that_crosses_the_close_of_its_connection_is_answered(fleet):
+    """The end of reading must not be taken for a caller that left."""
+    node, border = fleet.nodes[0], fleet.borders[0]
+    for server in fleet.servers:
+        server.faults.delay_s = 0.2
+    connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
+    wait_for(lambda: len(border.callers.idle) == 1, 1.0)
+    headers = [
+        ("Host", "svc.example"),
+        ("Attempt-Id", "crossing"),
+        ("Authorization", f"Bearer {KEY}"),
+    ]
+    connection.send(render_request("GET", "/safe/x", headers, b""), 1.0)
+    border.callers.stop_accepting()
+    assert read_answer(connection).status == 200
+
+
 def test_every_request_leaves_a_line_with_its_decisions(fleet):
     """The line names servers, outcome and the age of the configuration."""
     fleet.servers[0].faults.lose_answers = True
