--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
@@ -2,12 +2,11 @@
 
 import collections
 import dataclasses
-import select
 import socket
 
 import httptools
 
-from amaranthlug.transport.routing.sockets import connect
+from amaranthlug.transport.routing.sockets import connect, is_readable
 
 READ_BYTES = 65_536
 """Most bytes taken from a socket at once."""
@@ -123,11 +122,7 @@
 
     def is_quiet(self) -> bool:
         """Tells whether an idle connection is open and has nothing to read."""
-        if self.parser.items:
-            return False
-        poll = select.poll()
-        poll.register(self.sock.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not self.parser.items and not is_readable(self.sock)
 
     def send(self, data: bytes, timeout_s: float) -> None:
         """Sends a whole request.
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 server for callers: strict framing, whole bodies, early leavers."""
 
 import collections
-import contextlib
 import dataclasses
 import http
 import logging
@@ -16,7 +15,11 @@
 from amaranthlug.coordination.boot_clock import boot_seconds
 from amaranthlug.state.routing.config import CallerLimits
 from amaranthlug.transport.routing.http_client import Headers
-from amaranthlug.transport.routing.sockets import harden, split_address
+from amaranthlug.transport.routing.sockets import (
+    harden,
+    is_readable,
+    split_address,
+)
 
 READ_BYTES = 65_536
 """Most bytes taken from a socket at once."""
@@ -239,9 +242,7 @@
         self.handler = handler
         self.limits = limits
         self.draining = False
-        self.closing = False
-        self.idle: set[socket.socket] = set()
-        self.ended: set[socket.socket] = set()
+        self.idle: dict[socket.socket, gevent.Greenlet] = {}
         self.pool = Pool(max_connections)
         self.server = StreamServer(
             split_address(address), self.serve, backlog=BACKLOG, spawn=self.pool
@@ -258,15 +259,12 @@
     def stop_accepting(self) -> None:
         """Closes the listener and idle connections; requests go on.
 
-        Only reading ends, so a request that has just arrived on an idle
-        connection is still answered.
+        A connection on which bytes have arrived is read and answered.
         """
-        self.closing = True
         self.server.close()
-        for sock in list(self.idle):
-            self.ended.add(sock)
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RD)
+        for sock, reader in list(self.idle.items()):
+            if not is_readable(sock):
+                reader.kill(CallerGone, block=False)
 
     def busy(self) -> int:
         """Returns the connections on which a request is read or answered."""
@@ -280,7 +278,6 @@
         except (OSError, CallerGone):
             pass  # The caller left; its request was logged by the handler.
         finally:
-            self.ended.discard(sock)
             sock.close()
 
 
@@ -330,7 +327,7 @@
             limits.header_timeout_s if begun else limits.idle_timeout_s
         )
         if not begun:
-            self.server.idle.add(self.sock)
+            self.server.idle[self.sock] = gevent.getcurrent()
         try:
             return self.sock.recv(READ_BYTES)
         except TimeoutError:
@@ -340,7 +337,7 @@
                 ) from None
             return b""
         finally:
-            self.server.idle.discard(self.sock)
+            self.server.idle.pop(self.sock, None)
 
     def reject(self, error: RejectedRequestError) -> None:
         """Answers a request that was not understood and ends the connection."""
@@ -395,7 +392,6 @@
             except OSError:
                 data = b""
             if not data:
-                if self.sock not in self.server.ended:
-                    worker.kill(CallerGone, block=False)
+                worker.kill(CallerGone, block=False)
                 return
             self.ahead += data
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
@@ -1,5 +1,6 @@
 """Socket options that make a silent peer fail within seconds."""
 
+import select
 import socket
 
 from gevent import socket as gsocket
@@ -49,3 +50,10 @@
     sock = gsocket.create_connection(split_address(address), timeout_s)
     harden(sock)
     return sock
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Tells whether a socket has bytes or an end to read now."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
