--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -13,6 +13,7 @@
     KeyedRecord,
     KeyedStore,
 )
+from amaranthlug.coordination.routing.store_gate import StoreGate
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.state.routing.fleet import (
     EvidenceByRollout,
@@ -73,6 +74,7 @@
         self,
         store: KeyedStore,
         describe: Callable[[], NodeReport],
+        gate: StoreGate | None = None,
         clock: Callable[[], float] = boot_seconds,
     ):
         """Creates a view; `describe` returns this node's report."""
@@ -82,7 +84,7 @@
         self.reports: dict[str, HeardReport] = {}
         self.members: dict[str, tuple[NodeReport, float]] = {}
         self.follower = TopicFollower(
-            store, NODES_TOPIC, self, wait_s=0.0, clock=clock
+            store, NODES_TOPIC, self, wait_s=0.0, gate=gate, clock=clock
         )
         self.summary: FleetSummary | None = None
         self.summary_at = -math.inf
@@ -111,7 +113,12 @@
         return True
 
     def exchange(self) -> None:
-        """Publishes the report of this node and its members, reads others."""
+        """Publishes the report of this node and its members, reads others.
+
+        Neither is done while the store does not answer other calls.
+        """
+        if not self.follower.gate.is_open():
+            return
         self.publish()
         self.follower.step()
 
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
@@ -32,11 +32,15 @@
 ANSWER_S = 0.4
 """Longest wait for a relay's answer beyond that, in seconds; a frozen relay is
 left in time for a new configuration to be in force after 2 s."""
-AVOID_S = 4.0
-"""Time for which a failed relay is not asked again, in seconds."""
+AVOID_S = 1.0
+"""Time for which a failed relay is not asked again, in seconds; an exchange
+costs no call to the store."""
+TRIES = 2
+"""Relays that are asked in a row before this node reads the store: two that
+hold out for 1.2 s each would use up the time for a new configuration."""
 PACE_S = 0.25
 """Least time between two exchanges, in seconds."""
-DIRECT_S = 1.0
+DIRECT_S = 0.7
 """Time after which a node without a relay looks for one again, in seconds."""
 FIRST_LOOK_S = 0.25
 """Time after its first report at which a node looks for a relay, in seconds;
@@ -261,31 +265,41 @@
         gevent.sleep(FIRST_LOOK_S)
         self.fleet.follower.step()
         while True:
-            while (relay := self.choose()) is not None:
+            failed = 0
+            while failed < TRIES and (relay := self.choose()) is not None:
                 began = self.clock()
                 if self.exchange(relay, HOLD_S):
+                    failed = 0
                     gevent.sleep(max(0.0, PACE_S - (self.clock() - began)))
+                else:
+                    failed += 1
             self.go_direct()
             gevent.sleep(DIRECT_S)
 
     def choose(self) -> NodeEntry | None:
-        """Returns the relay to ask; None if this node reads the store."""
+        """Returns the relay to ask; None if this node reads the store.
+
+        Relays of other zones come after those of its own: an exchange across
+        zones costs less than this node's own calls to the store.
+        """
         if any(follower.position is None for follower in self.followers):
             return None
         nodes = self.fleet.nodes()
         near = relays_of(nodes, self.zone)
         if any(entry.node == self.me for entry in near):
             return None
+        zones = sorted({entry.zone for entry in nodes} - {self.zone})
+        far = [e for zone in zones for e in relays_of(nodes, zone)]
         now = self.clock()
-        able = [e for e in near if self.avoid.get(e.node, 0.0) <= now]
-        if not able:
-            return None
-        return max(
-            able,
-            key=lambda e: xxhash.xxh3_64_intdigest(
-                f"{self.me}|{e.node}".encode()
-            ),
-        )
+        for group in (near, far):
+            able = [e for e in group if self.avoid.get(e.node, 0.0) <= now]
+            if able:
+                return max(able, key=self.rank)
+        return None
+
+    def rank(self, relay: NodeEntry) -> int:
+        """Returns the place of a relay in this node's order."""
+        return xxhash.xxh3_64_intdigest(f"{self.me}|{relay.node}".encode())
 
     def exchange(self, relay: NodeEntry, hold_s: float) -> bool:
         """Exchanges once; False if the relay is of no use now."""
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -2,7 +2,6 @@
 
 import logging
 import math
-import random
 from collections.abc import Callable
 from typing import Protocol
 
@@ -16,11 +15,8 @@
     KeyedStore,
     StoreError,
 )
+from amaranthlug.coordination.routing.store_gate import StoreGate
 
-RETRY_S = (0.1, 0.4)
-"""Range of the wait after a failed read, in seconds: short against the 2 s in
-which a configuration must be in force, spread so that nodes do not return at
-one moment."""
 READ_MARGIN_S = 0.2
 """Time by which an undisturbed read may last longer than asked, in seconds;
 the store usually answers within 10 ms."""
@@ -68,6 +64,7 @@
         listener: TopicListener,
         wait_s: float,
         pause_s: float = 0.0,
+        gate: StoreGate | None = None,
         clock: Callable[[], float] = boot_seconds,
     ):
         """Creates a follower.
@@ -79,6 +76,7 @@
             wait_s: Longest wait of one read for a new record, in seconds.
             pause_s: Pause after each read, in seconds; it bounds the number
                 of reads of a topic that changes often.
+            gate: Shared by all that call the store from this node.
             clock: Returns seconds, including time in which the VM was paused.
         """
         self.store = store
@@ -86,6 +84,7 @@
         self.listener = listener
         self.wait_s = wait_s
         self.pause_s = pause_s
+        self.gate = gate or StoreGate(clock)
         self.clock = clock
         self.position: int | None = None
         self.confirmed_at = -math.inf
@@ -127,11 +126,12 @@
         """Reads until stopped, but not while another node reads for this."""
         while True:
             self.direct.wait()
+            self.gate.enter()
+            if not self.direct.is_set():
+                continue  # A relay was found while the store was away.
             first = self.position is None
             if self.step():
                 gevent.sleep(FIRST_PAUSE_S if first else self.pause_s)
-            else:
-                gevent.sleep(random.uniform(*RETRY_S))
 
     def step(self) -> bool:
         """Reads once; False if the store did not answer."""
@@ -202,6 +202,7 @@
     def failed(self, error: StoreError) -> bool:
         """Notes a failed read; expired records are loaded anew at once."""
         if error.expired:
+            self.gate.succeeded()
             log.info(
                 "%s: records expired, loading the newest",
                 self.topic,
@@ -209,6 +210,7 @@
             )
             self.position = None
             return True
+        self.gate.failed()
         if self.lost_at is None:
             self.lost_at = self.clock()
             log.warning(
@@ -221,6 +223,7 @@
 
     def regained(self, sent: float) -> None:
         """Notes the end of an outage."""
+        self.gate.succeeded()
         if self.lost_at is None:
             return
         log.info(
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -35,6 +35,7 @@
     ServerDecoder,
     ServerDirectory,
 )
+from amaranthlug.coordination.routing.store_gate import StoreGate
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.protocol.retry_budget import RetryBudget
@@ -132,16 +133,22 @@
         self.leaving = False
         self.asked_to_stop = Event()
         self.config = ConfigSource(codec)
+        gate = StoreGate()
         self.config_follower = TopicFollower(
-            store, topics.operator, self.config, CONFIG_WAIT_S
+            store, topics.operator, self.config, CONFIG_WAIT_S, gate=gate
         )
         self.servers = ServerDirectory(
             codec, lambda: self.server_follower.regained_at
         )
         self.server_follower = TopicFollower(
-            store, topics.servers, self.servers, SERVERS_WAIT_S, SERVERS_PAUSE_S
+            store,
+            topics.servers,
+            self.servers,
+            SERVERS_WAIT_S,
+            SERVERS_PAUSE_S,
+            gate,
         )
-        self.fleet = FleetView(store, self.report)
+        self.fleet = FleetView(store, self.report, gate)
         self.rollouts = RolloutTracker(
             codec,
             lambda: self.config.orders,
@@ -149,7 +156,7 @@
             self.fleet.age_s,
         )
         self.status_follower = TopicFollower(
-            store, topics.status, self.rollouts, STATUS_WAIT_S
+            store, topics.status, self.rollouts, STATUS_WAIT_S, gate=gate
         )
         self.followers = [
             self.config_follower,
--- a/test/test_routing_knowledge.py
+++ b/test/test_routing_knowledge.py
@@ -3,6 +3,7 @@
 import json
 import random
 
+import gevent
 import pytest
 from _routing import (
     FakeClock,
@@ -24,6 +25,7 @@
     LAPSE_GRACE_S,
     ServerDirectory,
 )
+from amaranthlug.coordination.routing.store_gate import StoreGate
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug_platform.records import PlatformRecords
 
@@ -113,11 +115,11 @@
     """Returns store, clock, reading side and following side."""
     store, clock = FakeStore(), FakeClock()
     reading, _ = a_follower(store, clock)
-    fleet = FleetView(FakeStore(), lambda: a_report("n1"), clock)
+    fleet = FleetView(FakeStore(), lambda: a_report("n1"), clock=clock)
     fleet.follower.step()
     relay = Relay([reading], fleet, lambda: False, clock)
     following, listener = a_follower(store, clock)
-    child_fleet = FleetView(FakeStore(), lambda: a_report("n2"), clock)
+    child_fleet = FleetView(FakeStore(), lambda: a_report("n2"), clock=clock)
     peers = Direct(relay)
     child = RelayedFollowing(
         "n2", "zone-a", [following], child_fleet, peers, clock
@@ -213,6 +215,46 @@
     assert names == {"n1"}
 
 
+def test_outage_costs_one_probe_at_a_time():
+    """Readers of one node do not all call a store that is away."""
+    clock = FakeClock()
+    gate = StoreGate(clock)
+    gate.failed()
+    clock.move(0.5)
+    gate.enter()
+    assert gate.next_probe > clock.now
+    with pytest.raises(gevent.Timeout), gevent.Timeout(0.15):
+        gate.enter()
+
+
+def test_pauses_grow_and_end_with_the_outage():
+    """An hour without the store costs about a call a second and node."""
+    clock = FakeClock()
+    gate = StoreGate(clock)
+    pauses = []
+    for _ in range(8):
+        gate.failed()
+        pauses.append(gate.next_probe - clock.now)
+    assert pauses[0] < 0.2
+    assert 0.5 <= pauses[-1] <= 1.1
+    gate.succeeded()
+    assert gate.is_open()
+
+
+def test_relay_of_another_zone_comes_before_the_store(pair):
+    """The loss of a zone's relay does not send its nodes to the store."""
+    *_, child, _, _ = pair
+    nodes = [an_entry("n1"), an_entry("n2"), an_entry("far", "zone-b")]
+    child.fleet.nodes = lambda: nodes
+    child.me = "n2" if relays_of(nodes, "zone-a")[0].node == "n1" else "n1"
+    first = child.choose()
+    assert first.zone == "zone-a"
+    child.leave(first, "lost")
+    assert child.choose().node == "far"
+    child.leave(child.choose(), "lost")
+    assert child.choose() is None
+
+
 def test_calls_to_the_store_do_not_grow_with_the_nodes():
     """Of 390 nodes in 5 zones 20 read the store."""
     nodes = [an_entry(f"n{i}", f"zone-{i % 5}") for i in range(390)]
