--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -1,9 +1,7 @@
 """A fleet in this process: store, servers, nodes and a caller."""
 
-import contextlib
 import dataclasses
 import json
-import socket
 
 import gevent
 
@@ -21,19 +19,16 @@
 from amaranthlug_platform.records import OPERATOR_TOPIC, PlatformRecords
 from amaranthlug_platform.store_client import StoreClient
 from amaranthlug_platform_standins.server import ServerStandIn
+from amaranthlug_platform_standins.soak_world import (
+    LISTENERS,
+    free_addresses,
+)
 from amaranthlug_platform_standins.store import StoreStandIn
 
 HOST = "svc.example"
 KEY = "key-1"
 
 
-def free_address() -> str:
-    """Returns a loopback address with a free port."""
-    with contextlib.closing(socket.socket()) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def wait_for(condition, limit_s: float = 5.0) -> None:
     """Waits until a condition holds.
 
@@ -118,12 +113,13 @@
 
     def __init__(self, nodes: int = 1, servers: int = 2, lines=None, **server):
         """Starts everything and waits until the nodes are ready."""
-        self.store = StoreStandIn(free_address())
+        addresses = free_addresses(1 + servers)
+        self.store = StoreStandIn(addresses.pop())
         self.store.start()
         self.store.put(OPERATOR_TOPIC, "config", a_wire_config())
         self.servers = [
             ServerStandIn(
-                self.store, free_address(), f"s{i}", "pool", **server
+                self.store, addresses[i], f"s{i}", "pool", **server
             ).start()
             for i in range(servers)
         ]
@@ -141,16 +137,9 @@
             "name": f"node-{number}",
             "zone": "zone-a",
             "region": "region",
-            "addresses": {
-                name: free_address()
-                for name in (
-                    "callers",
-                    "readiness",
-                    "directory",
-                    "metrics",
-                    "peers",
-                )
-            },
+            "addresses": dict(
+                zip(LISTENERS, free_addresses(len(LISTENERS)), strict=True)
+            ),
             "store": self.store.address,
             "max_descriptors": 1_000,
             "seed": number,
--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -11,6 +11,8 @@
     ("seed", "nodes"),
     [
         pytest.param(1, 2, id="short run"),
+        # Another process had taken a node's port, so the node never ran.
+        pytest.param(36, 4, id="port taken before the node's start"),
         # A server left while the store was silent; nodes learnt of it 2 s
         # after the store was back, which the check did not allow.
         pytest.param(49, 4, id="server left during an outage"),
