--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -29,6 +29,9 @@
 from amaranthlug.state.routing.config import Route, RoutedService
 from amaranthlug.state.routing.servers import ServerEntry
 
+PROMISES = frozenset({408, 429, 503})
+"""Statuses that tell a caller that its request has not run and never will; a
+server's own count only together with its statement."""
 MIN_LEFT_S = 0.02
 """Time below which a request is not sent any more, in seconds."""
 ANSWER_SLACK_S = 0.1
@@ -135,6 +138,42 @@
             self.request.arrived + self.route.timeout_ms / 1_000,
         )
 
+    def run(self) -> Ended:
+        """Sends the request until it is answered or given up."""
+        while self.may_repeat():
+            server = self.choose()
+            if server is None:
+                if self.sendings == 0 and self.wait_for_server():
+                    continue
+                break
+            if not self.context.may_send(self.context):
+                break
+            self.tried.add(server.life)
+            try:
+                ended = self.attempt(server)
+            except UpstreamCallError as failure:
+                self.may_have_run = self.may_have_run or failure.may_have_run
+                continue
+            if ended is not None:
+                return ended
+        return self.finish()
+
+    def choose(self) -> ServerEntry | None:
+        """Returns a server for the next sending, None if there is none."""
+        raise NotImplementedError
+
+    def attempt(self, server: ServerEntry) -> Ended | None:
+        """Sends the request to one server; None if another may be asked.
+
+        Raises:
+            UpstreamCallError: The server gave no answer for the caller.
+        """
+        raise NotImplementedError
+
+    def finish(self) -> Ended:
+        """Ends a request that no server answered."""
+        return self.give_up("no_server")
+
     def left_s(self) -> float:
         """Returns the time until the final answer is due, in seconds."""
         return self.limit - self.tools.clock()
@@ -190,6 +229,11 @@
             raise UpstreamCallError(
                 FailureKind.NOT_RUN, f"refused with {head.status}"
             )
+        if head.status in PROMISES:
+            # To a caller this status would say that the request has not run.
+            raise UpstreamCallError(
+                FailureKind.FAILED, f"{head.status} without a statement"
+            )
         if head.encoded:
             raise UpstreamCallError(FailureKind.BROKEN, "encoded body")
         if head.status < 300 and not head.sealed:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -4,9 +4,12 @@
     ANSWER_SLACK_S,
     BaseExchange,
     Ended,
+    ExchangeTools,
+    RequestContext,
     close_all,
 )
 from amaranthlug.protocol.routing.messages import (
+    AnswerWriter,
     FailureKind,
     ReplyHead,
     SentCall,
@@ -30,35 +33,36 @@
 class PlainExchange(BaseExchange):
     """Sends a request until a server answers whole."""
 
-    def run(self) -> Ended:
-        """Returns how the request ended."""
-        failed: tuple[ReplyHead, bytes] | None = None
-        while self.may_repeat():
-            server = self.tools.placement.pick_plain(
-                self.context.candidates(), self.tried
-            )
-            if server is None:
-                if self.sendings == 0 and self.wait_for_server():
-                    continue
-                break
-            if not self.context.may_send(self.context):
-                break
-            self.tried.add(server.life)
-            try:
-                head, body = self.ask(server)
-            except UpstreamCallError as failure:
-                self.may_have_run = self.may_have_run or failure.may_have_run
-                continue
-            if head.status < SERVER_ERROR:
-                return self.deliver(head, body)
-            self.may_have_run = True
-            failed = head, body
-            if not self.route.repeatable:
-                break
-        if failed is not None:
-            # The server's own failure tells more than one of this node.
-            return self.deliver(*failed)
-        return self.give_up("no_server")
+    def __init__(
+        self,
+        context: RequestContext,
+        writer: AnswerWriter,
+        tools: ExchangeTools,
+    ):
+        """Prepares an exchange."""
+        super().__init__(context, writer, tools)
+        self.failed: tuple[ReplyHead, bytes] | None = None
+
+    def choose(self) -> ServerEntry | None:
+        """Returns a server for the next sending, None if there is none."""
+        return self.tools.placement.pick_plain(
+            self.context.candidates(), self.tried
+        )
+
+    def attempt(self, server: ServerEntry) -> Ended | None:
+        """Asks one server; its failure is kept in case no other answers."""
+        head, body = self.ask(server)
+        if head.status < SERVER_ERROR:
+            return self.deliver(head, body)
+        self.may_have_run = True
+        self.failed = head, body
+        return None
+
+    def finish(self) -> Ended:
+        """Delivers a server's failure, which tells more than the node's."""
+        if self.failed is not None:
+            return self.deliver(*self.failed)
+        return super().finish()
 
     def deliver(self, head: ReplyHead, body: bytes) -> Ended:
         """Sends a server's answer to the caller."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -62,34 +62,23 @@
         """Returns the model to ask for, None as the caller says."""
         return self.route.models[self.place] if self.route.models else None
 
-    def run(self) -> Ended:
-        """Returns how the request ended."""
-        while self.may_repeat():
-            server = self.tools.placement.pick_engine(
-                self.context.candidates(),
-                self.tried,
-                self.request,
-                self.model,
-            )
-            if server is None:
-                if self.sendings == 0 and self.wait_for_server():
-                    continue
-                break
-            if not self.context.may_send(self.context):
-                break
-            self.tried.add(server.life)
-            try:
-                head = self.stream_from(server)
-            except UpstreamCallError as failure:
-                self.may_have_run = self.may_have_run or failure.may_have_run
-                continue
-            return ("completed" if head.status < 300 else "answered"), (
-                head.status
-            )
+    def choose(self) -> ServerEntry | None:
+        """Returns an engine for the next sending, None if there is none."""
+        return self.tools.placement.pick_engine(
+            self.context.candidates(), self.tried, self.request, self.model
+        )
+
+    def attempt(self, server: ServerEntry) -> Ended:
+        """Relays what one server sends."""
+        head = self.stream_from(server)
+        return ("completed" if head.status < 300 else "answered"), head.status
+
+    def finish(self) -> Ended:
+        """Ends a stream that no server completed."""
         if self.begun:
             # The caller sees the connection end without the last chunk.
             return "stream_cut", 200
-        return self.give_up("no_server")
+        return super().finish()
 
     def stream_from(self, server: ServerEntry) -> ReplyHead:
         """Relays what one server sends until the stream's end.
--- a/test/test_platform_path.py
+++ b/test/test_platform_path.py
@@ -90,6 +90,14 @@
     assert fleet.runs("id-1") == 0
 
 
+def test_refusal_without_a_statement_is_no_promise(fleet):
+    """A server's 503 that does not say 'not run' is not passed on."""
+    faults_at_all(fleet, status=503)
+    answer = fleet.call("/once/x", method="POST", body=b"b")
+    assert answer.status == 502
+    assert fleet.runs("id-1") == 1
+
+
 def test_no_server_is_refused_at_once(fleet):
     """A caller is told to come back instead of being kept waiting."""
     for server in fleet.servers:
