--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -37,6 +37,11 @@
 ANSWER_SLACK_S = 0.1
 """Time after the limit in which a server's own answer may still arrive, in
 seconds; a final answer is due 0.25 s after the limit."""
+WAIT_SHARE = 0.125
+"""Part of the objective for which a request waits for a server to be listed;
+then its caller is told to come back, which costs it little time."""
+MIN_LEFT_SHARE = 0.5
+"""Part of the objective that must be left for such a wait to make sense."""
 NO_SERVER_WAIT_S = 0.05
 """Pause before looking again for a server, in seconds."""
 COME_BACK_S = (0.2, 0.7)
@@ -277,10 +282,10 @@
 
     def wait_for_server(self) -> bool:
         """Waits a moment for a server; False if it would be in vain."""
-        if self.left_s() < self.route.objective_ms / 1_000 / 2:
+        objective_ms = self.route.objective_ms
+        if self.left_s() * 1_000 < MIN_LEFT_SHARE * objective_ms:
             return False
-        waited = self.context.trace.waited_ms
-        if waited > self.route.objective_ms / 8:
+        if self.context.trace.waited_ms > WAIT_SHARE * objective_ms:
             return False
         gevent.sleep(NO_SERVER_WAIT_S)
         self.context.trace.waited_ms += NO_SERVER_WAIT_S * 1_000
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
@@ -28,6 +28,7 @@
     RouteKind,
     RoutingConfig,
 )
+from amaranthlug.state.routing.servers import ServerEntry
 
 COME_BACK_S = (0.3, 0.8)
 """Range of the time after which a refused caller may come back, in seconds;
@@ -225,7 +226,9 @@
         weights = [weight for _, weight in route.services]
         return self.random.choices(names, weights)[0]
 
-    def candidates(self, service: str, request: RoutedRequest) -> list:
+    def candidates(
+        self, service: str, request: RoutedRequest
+    ) -> list[ServerEntry]:
         """Returns the servers that may get a request now."""
         split = self.rollouts.split(service, self.servers.usable(service))
         return self.sessions.servers_for(
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import uuid
+from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -78,7 +79,8 @@
 """Time by which keys are given up before the bound, in seconds; covers the
 way from the check to the server."""
 ENTRY_TTL_S = 1.5
-"""Time for which callers may keep addresses, in seconds."""
+"""Time for which callers may keep addresses unless the deployment allows
+less, in seconds: short, so that a lost node is soon avoided."""
 LINGER_S = 2.6
 """Time after a signal to stop in which new requests are still taken, in
 seconds: callers keep an address for its time to live, and what is taken so
@@ -287,6 +289,10 @@
         """Returns addresses for a caller in `zone`."""
         return choose_entries(self.fleet.nodes(), zone, region, self.random)
 
+    def entry_ttl_s(self) -> float:
+        """Returns the time for which callers may keep addresses, in seconds."""
+        return min(ENTRY_TTL_S, self.settings.bounds.entry_ttl_s)
+
     def limits(self) -> CallerLimits:
         """Returns the bounds on what callers send."""
         config = self.config.config
@@ -342,8 +348,17 @@
             "settings reloaded", extra={"event": "reload", "outcome": "taken"}
         )
 
-    def stop(self, requests_running: "RunningCount", stop_accepting) -> None:
-        """Leaves without cutting a request that ends within the grace."""
+    def stop(
+        self,
+        requests_running: Callable[[], int],
+        stop_accepting: Callable[[], None],
+    ) -> None:
+        """Leaves without cutting a request that ends within the grace.
+
+        Args:
+            requests_running: Returns the requests being read or answered.
+            stop_accepting: Closes the listener and idle connections.
+        """
         began = boot_seconds()
         self.leaving = True
         log.info("node %s leaves", self.settings.name, extra={"event": "stop"})
@@ -364,11 +379,3 @@
             self.settings.name,
             extra={"event": "stopped", "running": requests_running()},
         )
-
-
-class RunningCount(Protocol):
-    """Tells how many requests are being answered."""
-
-    def __call__(self) -> int:
-        """Returns the number."""
-        ...
