--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
@@ -242,6 +242,7 @@
         self.handler = handler
         self.limits = limits
         self.draining = False
+        self.closed = False
         self.idle: dict[socket.socket, gevent.Greenlet] = {}
         self.pool = Pool(max_connections)
         self.server = StreamServer(
@@ -261,6 +262,7 @@
 
         A connection on which bytes have arrived is read and answered.
         """
+        self.closed = True
         self.server.close()
         for sock, reader in list(self.idle.items()):
             if not is_readable(sock):
@@ -304,6 +306,12 @@
             request, keep_alive = found
             if not self.answer(request, keep_alive):
                 return
+            if self.server.closed and not self.has_more():
+                return
+
+    def has_more(self) -> bool:
+        """Tells whether bytes of a next request have arrived."""
+        return bool(self.parser.done or self.ahead) or is_readable(self.sock)
 
     def next_request(self) -> tuple[IncomingRequest, bool] | None:
         """Returns the next whole request; None at the connection's end."""
--- a/test/test_platform_path.py
+++ b/test/test_platform_path.py
@@ -442,6 +442,31 @@
     wait_for(lambda: border.running() == 0, 1.0)
 
 
+def test_stream_that_began_before_the_close_is_the_last_on_its_connection():
+    """Its head could not yet say that the connection will close."""
+    fleet = PlatformFleet(events=10, event_s=0.05)
+    try:
+        node, border = fleet.nodes[0], fleet.borders[0]
+        connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
+        headers = [
+            ("Host", "svc.example"),
+            ("Attempt-Id", "early"),
+            ("Authorization", f"Bearer {KEY}"),
+            *stream_headers(),
+        ]
+        connection.send(render_request("GET", "/stream/x", headers, b""), 1.0)
+        wait_for(lambda: sum(s.runs["early"] for s in fleet.servers) == 1)
+        gevent.sleep(0.1)
+        border.begin_drain()
+        border.callers.stop_accepting()
+        answer = read_answer(connection)
+        assert answer.whole
+        assert len(event_ids(answer.body)) == 10
+        wait_for(lambda: not connection.is_quiet(), 0.5)
+    finally:
+        fleet.stop()
+
+
 def test_request_that_crosses_the_close_of_its_connection_is_answered(fleet):
     """The end of reading must not be taken for a caller that left."""
     node, border = fleet.nodes[0], fleet.borders[0]
