--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
@@ -254,7 +254,6 @@
         self.relay: NodeEntry | None = None
         self.avoid: dict[str, float] = {}
         self.nodes_digest = ""
-        self.leaving = False
 
     def start(self) -> None:
         """Begins to look for a relay."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import gevent
 
@@ -26,7 +26,7 @@
 from amaranthlug.protocol.routing.placement import Placement
 from amaranthlug.protocol.routing.request_log import RequestTrace
 from amaranthlug.protocol.routing.server_health import HealthBook
-from amaranthlug.state.routing.config import Route, RoutedService
+from amaranthlug.state.routing.config import Route
 from amaranthlug.state.routing.servers import ServerEntry
 
 PROMISES = frozenset({408, 429, 503})
@@ -90,7 +90,6 @@
     Attributes:
         request: The request.
         route: Its route.
-        service: Its service, None if the configuration lacks it.
         service_name: Name of the service.
         organisation: Holder of the key.
         priority: Rank; 0 is the most urgent.
@@ -102,7 +101,6 @@
 
     request: RoutedRequest
     route: Route
-    service: RoutedService | None
     service_name: str
     organisation: str | None
     priority: int
@@ -112,14 +110,6 @@
     trace: RequestTrace
 
 
-class Exchange(Protocol):
-    """Sends a request until it is answered or given up."""
-
-    def run(self) -> Ended:
-        """Returns how the request ended."""
-        ...
-
-
 class BaseExchange:
     """Sending rules that hold for all kinds."""
 
@@ -195,7 +185,7 @@
             self.context.service_name
         )
 
-    def open(self, server: ServerEntry, call: UpstreamCall) -> SentCall:
+    def open(self, call: UpstreamCall) -> SentCall:
         """Sends a request and counts it.
 
         Raises:
@@ -292,8 +282,7 @@
         return True
 
 
-def close_all(*things: SentCall | UpstreamReply | None) -> None:
-    """Closes what is still open."""
-    for thing in things:
-        if thing is not None:
-            thing.close()
+def close_open(open_call: SentCall | UpstreamReply | None) -> None:
+    """Closes a sending, if it began."""
+    if open_call is not None:
+        open_call.close()
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -6,7 +6,7 @@
     Ended,
     ExchangeTools,
     RequestContext,
-    close_all,
+    close_open,
 )
 from amaranthlug.protocol.routing.messages import (
     AnswerWriter,
@@ -86,7 +86,7 @@
         outcome = "caller_left"
         tools.health.began(server)
         try:
-            sent = self.open(server, self.call_for(server))
+            sent = self.open(self.call_for(server))
             reply = self.wait(sent, self.patience_s(server))
             body = self.read(reply)
             outcome = str(reply.head.status)
@@ -97,7 +97,7 @@
             self.note_failure(server, failure)
             raise
         finally:
-            close_all(reply or sent)
+            close_open(reply or sent)
             tools.health.ended(server)
             self.note_attempt(server, began, outcome)
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
@@ -9,7 +9,7 @@
 from amaranthlug.coordination.routing.rollout_tracker import RolloutTracker
 from amaranthlug.coordination.routing.server_directory import ServerDirectory
 from amaranthlug.protocol.routing.exchange import (
-    Exchange,
+    BaseExchange,
     ExchangeTools,
     RequestContext,
 )
@@ -128,7 +128,6 @@
         context = RequestContext(
             request=request,
             route=route,
-            service=config.services.get(service),
             service_name=service,
             organisation=holder.organisation if holder else None,
             priority=self.priority_of(route, holder),
@@ -142,7 +141,7 @@
             if route.kind is RouteKind.STREAMING
             else PlainExchange
         )
-        exchange: Exchange = kind(context, writer, self.tools)
+        exchange: BaseExchange = kind(context, writer, self.tools)
         ended = exchange.run()
         if isinstance(ended, OwnAnswer):
             raise RefusedError(ended)
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -7,7 +7,7 @@
     Ended,
     ExchangeTools,
     RequestContext,
-    close_all,
+    close_open,
 )
 from amaranthlug.protocol.routing.messages import (
     AnswerWriter,
@@ -105,7 +105,7 @@
         ticket = tools.queues.sent(server, call.model, tokens)
         try:
             self.splitter.tail = b""
-            sent = self.open(server, call)
+            sent = self.open(call)
             reply = self.wait_head(server, sent)
             head_ms = round((tools.clock() - began) * 1_000, 1)
             if reply.head.status < 300:
@@ -114,7 +114,7 @@
             if reply.head.status >= 300:
                 return self.relay_whole(server, reply)
             self.check_answer(reply.head)
-            self.relay(server, reply, began)
+            self.relay(server, reply)
             outcome = "completed"
             self.note_completed(server, call.model, began, head_ms, events)
             return reply.head
@@ -123,7 +123,7 @@
             self.note_failure(server, failure)
             raise
         finally:
-            close_all(reply or sent)
+            close_open(reply or sent)
             tools.health.ended(server)
             tools.queues.ended(server, ticket)
             self.note_attempt(
@@ -267,9 +267,7 @@
             self.tools.health.note_byte(server)
             return piece
 
-    def relay(
-        self, server: ServerEntry, reply: UpstreamReply, began: float
-    ) -> None:
+    def relay(self, server: ServerEntry, reply: UpstreamReply) -> None:
         """Sends whole events to the caller as they come."""
         while (piece := self.next_piece(server, reply)) is not None:
             try:
