--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -17,6 +17,7 @@
     UpstreamCallError,
     UpstreamReply,
 )
+from amaranthlug.protocol.routing.urgency import RESUMED_URGENCY, urgency_of
 from amaranthlug.state.routing.servers import ServerEntry
 
 PROBE_S = 0.4
@@ -38,8 +39,6 @@
 FAILURE_RESERVE = 1.0
 """Saved-up repeats that only failures may use; a weak answer is still an
 answer."""
-MAX_URGENCY = 9
-"""Lowest urgency that engines know."""
 
 
 class StreamExchange(BaseExchange):
@@ -62,6 +61,19 @@
         """Returns the model to ask for, None as the caller says."""
         return self.route.models[self.place] if self.route.models else None
 
+    def urgency(self, server: ServerEntry) -> int:
+        """Returns the rank that engines give the prompt."""
+        if self.begun:
+            return RESUMED_URGENCY
+        pace = self.tools.queues.pace(server.service, self.model)
+        return urgency_of(
+            objective_ms=self.route.objective_ms,
+            waited_ms=(self.tools.clock() - self.request.arrived) * 1_000,
+            start_ms=pace.start_ms,
+            read_ms=self.request.prompt_tokens * pace.read_ms,
+            priority=self.context.priority,
+        )
+
     def choose(self) -> ServerEntry | None:
         """Returns an engine for the next sending, None if there is none."""
         return self.tools.placement.pick_engine(
@@ -96,7 +108,7 @@
         call = self.call_for(
             server,
             model=self.model,
-            urgency=min(MAX_URGENCY, 2 + 2 * self.context.priority),
+            urgency=self.urgency(server),
             last_event=self.splitter.last_event,
         )
         tools.health.began(server)
