--- a/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/run.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/run.py
@@ -1,6 +1,7 @@
 """Runs a simulated deployment and sums up how its requests fared."""
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -119,7 +120,7 @@
     def maker(self, chooser: str) -> Callable[[int], Chooser]:
         """Returns what makes the chooser of a node."""
         zones = self.deployment.zones
-        return {
+        makers: dict[str, Callable[[int], Chooser]] = {
             "product": lambda n: ProductChooser(
                 f"zone-{n % zones}", self.clock, n
             ),
@@ -129,7 +130,8 @@
             "random": BlindChooser,
             "least-loaded": lambda n: LeastLoadedChooser(self.clock, n),
             "oracle": lambda n: OracleChooser(self.engines, n),
-        }[chooser]
+        }
+        return makers[chooser]
 
     def at(self, when: float, act: Callable[[], None]) -> None:
         """Plans an act."""
@@ -151,7 +153,7 @@
             node = self.rng.choice(self.nodes)
             self.at(
                 request.arrived,
-                lambda r=request, n=node: self.send(r, n, SMALL),
+                functools.partial(self.send, request, node, SMALL),
             )
         while self.events:
             self.clock.now, _, act = heapq.heappop(self.events)
