Keep a weak answer where a larger model's could only come late

Cause: after half of its objective a long prompt was still asked of the largest model, whose answer then came late, was worth a tenth, cost twice the tokens and made others late: the largest model reads a token ten times as slowly, so it was three quarters of the reading. Conclusion: no larger model once its first event would come after the objective. The new test failed before.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -68,7 +68,7 @@
         pace = self.tools.queues.pace(server.service, self.model)
         return urgency_of(
             objective_ms=self.route.objective_ms,
-            waited_ms=(self.tools.clock() - self.request.arrived) * 1_000,
+            waited_ms=self.waited_ms(),
             start_ms=pace.start_ms,
             read_ms=self.request.prompt_tokens * pace.read_ms,
             priority=self.context.priority,
@@ -171,8 +171,12 @@
         place = self.tools.models.following(
             self.route, self.place, head.confidence
         )
-        if place is None or not self.tools.budget.has(
-            self.context.service_name, FAILURE_RESERVE
+        if (
+            place is None
+            or self.would_be_late(place)
+            or not self.tools.budget.has(
+                self.context.service_name, FAILURE_RESERVE
+            )
         ):
             return
         self.place = place
@@ -180,6 +184,22 @@
             FailureKind.WEAK, f"confidence {head.confidence}"
         )
 
+    def would_be_late(self, place: int) -> bool:
+        """Tells whether a model's first event could only come late.
+
+        The answer at hand is in time; a better one that is late is worth less
+        to most callers, and reading the prompt again makes others late too.
+        """
+        pace = self.tools.queues.pace(
+            self.context.service_name, self.route.models[place]
+        )
+        expected_ms = pace.expected_ms(self.request.prompt_tokens)
+        return self.waited_ms() + expected_ms > self.route.objective_ms
+
+    def waited_ms(self) -> float:
+        """Returns the time since the request arrived, in milliseconds."""
+        return (self.tools.clock() - self.request.arrived) * 1_000
+
     def note_completed(
         self,
         server: ServerEntry,
--- a/test/test_platform_path.py
+++ b/test/test_platform_path.py
@@ -206,6 +206,22 @@
         fleet.stop()
 
 
+def test_larger_model_that_would_be_late_is_not_asked():
+    """Overload: an answer at hand is not dropped for one that comes late."""
+    fleet = PlatformFleet(confidence={"small": 20, "large": 90})
+    headers = [
+        (name, "60000,50" if name == "Token-Count" else value)
+        for name, value in stream_headers()
+    ]
+    try:
+        answer = fleet.call("/stream/x", headers=headers)
+        assert answer.whole
+        models = [r.get("model") for s in fleet.servers for r in s.seen]
+        assert models == ["small"]
+    finally:
+        fleet.stop()
+
+
 def test_sure_model_is_enough():
     """A small model's answer is delivered if it is sure."""
     fleet = PlatformFleet(confidence={"small": 90})
