Search other relays and standbys before reading the store

Two relays that hold out for 1.2 s each also used up more than the 2 s for a new configuration. Ruled out: the start of the nodes (about 540 calls each time). A refused exchange returns at once, so a node now asks relays of its zone, relays of other zones and two standbys, in rounds of 0.1 s, for 0.45 s; standbys read the store at once; a node that reads the store for a moment writes no report, since its last relay still reports it.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
@@ -27,17 +27,29 @@
 MEMBERS_PER_RELAY = 24
 """Nodes of a zone for which one node reads the store; at one exchange a
 second and node this costs a small VM a few percent of its processor."""
+STANDBYS = 2
+"""Nodes of a zone after its relays that others ask when no relay answers;
+they read the store themselves sooner, so the others need not."""
 HOLD_S = 0.8
 """Longest time for which a relay holds an exchange, in seconds."""
 ANSWER_S = 0.4
 """Longest wait for a relay's answer beyond that, in seconds; a frozen relay is
 left in time for a new configuration to be in force after 2 s."""
 AVOID_S = 1.0
-"""Time for which a failed relay is not asked again, in seconds; an exchange
-costs no call to the store."""
-TRIES = 2
-"""Relays that are asked in a row before this node reads the store: two that
-hold out for 1.2 s each would use up the time for a new configuration."""
+"""Time for which a relay that did not answer is not asked again, in seconds;
+an exchange costs no call to the store."""
+REFUSED_AVOID_S = 0.3
+"""Time for which a relay that cannot help now is not asked again, in seconds;
+such an answer comes at once."""
+SEARCH_S = 0.45
+"""Time for which a node that lost its relay looks for another before it reads
+the store, in seconds: with the lost exchange of 1.2 s, a new configuration
+is still in force after 2 s."""
+SEARCH_PAUSE_S = 0.1
+"""Pause between two rounds of a search, in seconds."""
+ROUND_TRIES = 4
+"""Nodes that are asked in one round, so that many searching nodes do not use
+up the processors of the few that can help."""
 PACE_S = 0.25
 """Least time between two exchanges, in seconds."""
 DIRECT_S = 0.7
@@ -130,6 +142,10 @@
     summary: FleetSummary
 
 
+class RelayRefusedError(OSError):
+    """A node answered that it cannot read the store for others now."""
+
+
 class PeerPort(Protocol):
     """Sends an exchange to another node."""
 
@@ -139,7 +155,8 @@
         """Returns the answer.
 
         Raises:
-            OSError: The node did not answer or does not read the store.
+            RelayRefusedError: The node does not read the store now.
+            OSError: The node did not answer.
         """
         ...
 
@@ -150,13 +167,21 @@
     return xxhash.xxh3_64_hexdigest(text.encode())
 
 
-def relays_of(nodes: list[NodeEntry], zone: str) -> list[NodeEntry]:
-    """Returns the relays of a zone, the same at every node."""
+def readers_of(
+    nodes: list[NodeEntry], zone: str
+) -> tuple[list[NodeEntry], list[NodeEntry]]:
+    """Returns relays and standbys of a zone, the same at every node."""
     near = sorted(
         (entry for entry in nodes if entry.zone == zone and entry.serving),
         key=lambda e: xxhash.xxh3_64_intdigest(e.node.encode()),
     )
-    return near[: math.ceil(len(near) / MEMBERS_PER_RELAY)]
+    count = math.ceil(len(near) / MEMBERS_PER_RELAY)
+    return near[:count], near[count : count + STANDBYS]
+
+
+def relays_of(nodes: list[NodeEntry], zone: str) -> list[NodeEntry]:
+    """Returns the relays of a zone, the same at every node."""
+    return readers_of(nodes, zone)[0]
 
 
 class Relay:
@@ -264,37 +289,64 @@
         gevent.sleep(FIRST_LOOK_S)
         self.fleet.follower.step()
         while True:
-            failed = 0
-            while failed < TRIES and (relay := self.choose()) is not None:
-                began = self.clock()
-                if self.exchange(relay, HOLD_S):
-                    failed = 0
-                    gevent.sleep(max(0.0, PACE_S - (self.clock() - began)))
-                else:
-                    failed += 1
+            while (relay := self.find()) is not None:
+                self.stay(relay)
             self.go_direct()
             gevent.sleep(DIRECT_S)
 
-    def choose(self) -> NodeEntry | None:
-        """Returns the relay to ask; None if this node reads the store.
+    def stay(self, relay: NodeEntry) -> None:
+        """Exchanges with a relay until it is lost or another is due."""
+        while True:
+            began = self.clock()
+            if relay.node not in [r.node for r in self.choices()[:1]]:
+                return
+            if not self.exchange(relay, HOLD_S):
+                return
+            gevent.sleep(max(0.0, PACE_S - (self.clock() - began)))
+
+    def find(self) -> NodeEntry | None:
+        """Returns a relay that answers, None if this node reads the store.
+
+        A node that already reads the store makes one round; one that lost its
+        relay makes some, since others that can help may just be taking over.
+        """
+        until = self.clock() + (SEARCH_S if self.relay is not None else 0.0)
+        while True:
+            for relay in self.choices()[:ROUND_TRIES]:
+                if self.exchange(relay, 0.0):
+                    return relay
+                if self.clock() > until:
+                    return None
+            if self.clock() + SEARCH_PAUSE_S > until or self.is_reader():
+                return None
+            gevent.sleep(SEARCH_PAUSE_S)
+
+    def is_reader(self) -> bool:
+        """Tells whether others ask this node when their relay is lost."""
+        relays, standbys = readers_of(self.fleet.nodes(), self.zone)
+        return any(entry.node == self.me for entry in relays + standbys)
+
+    def choices(self) -> list[NodeEntry]:
+        """Returns the nodes to ask, best first; none for a relay.
 
         Relays of other zones come after those of its own: an exchange across
         zones costs less than this node's own calls to the store.
         """
         if any(follower.position is None for follower in self.followers):
-            return None
+            return []
         nodes = self.fleet.nodes()
-        near = relays_of(nodes, self.zone)
+        near, standbys = readers_of(nodes, self.zone)
         if any(entry.node == self.me for entry in near):
-            return None
+            return []
         zones = sorted({entry.zone for entry in nodes} - {self.zone})
         far = [e for zone in zones for e in relays_of(nodes, zone)]
         now = self.clock()
-        for group in (near, far):
-            able = [e for e in group if self.avoid.get(e.node, 0.0) <= now]
-            if able:
-                return max(able, key=self.rank)
-        return None
+        return [
+            entry
+            for group in (near, far, standbys)
+            for entry in sorted(group, key=self.rank, reverse=True)
+            if entry.node != self.me and self.avoid.get(entry.node, 0.0) <= now
+        ]
 
     def rank(self, relay: NodeEntry) -> int:
         """Returns the place of a relay in this node's order."""
@@ -313,8 +365,11 @@
             answer = self.peers.exchange(
                 relay.peer_address, request, hold_s + ANSWER_S
             )
+        except RelayRefusedError as error:
+            self.leave(relay, str(error), REFUSED_AVOID_S)
+            return False
         except OSError as error:
-            self.leave(relay, str(error))
+            self.leave(relay, str(error), AVOID_S)
             return False
         self.take(relay, answer, sent)
         return True
@@ -349,9 +404,9 @@
         self.nodes_digest = answer.nodes_digest
         self.fleet.take_summary(summary)
 
-    def leave(self, relay: NodeEntry, reason: str) -> None:
+    def leave(self, relay: NodeEntry, reason: str, avoid_s: float) -> None:
         """Avoids a relay for a while."""
-        self.avoid[relay.node] = self.clock() + AVOID_S
+        self.avoid[relay.node] = self.clock() + avoid_s
         log.info(
             "relay %s is not used: %s",
             relay.node,
@@ -368,7 +423,8 @@
         self.fleet.drop_summary()
         for follower in self.followers:
             follower.direct.set()
-        gevent.spawn(self.fleet.exchange)
+        # Its last relay still reports this node; the timer does so later.
+        gevent.spawn(self.fleet.follower.step)
         log.info("this node reads the store itself", extra={"event": "direct"})
 
     def tell_now(self) -> None:
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/relay_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/relay_http.py
@@ -5,6 +5,7 @@
 from amaranthlug.coordination.routing.relay import (
     Relay,
     RelayAnswer,
+    RelayRefusedError,
     RelayRequest,
 )
 from amaranthlug.transport.routing.http_client import (
@@ -65,7 +66,8 @@
         """Returns the answer of the node at `address`.
 
         Raises:
-            OSError: The node did not answer or does not read the store.
+            RelayRefusedError: The node does not read the store now.
+            OSError: The node did not answer.
         """
         connection = self.kept.pop(address, None)
         if connection is not None and not connection.is_quiet():
@@ -100,6 +102,8 @@
             if size > MAX_ANSWER_BYTES:
                 raise OSError("the answer is too large")
             pieces.append(piece)
+        if head.status == 503:
+            raise RelayRefusedError("the node answered 503")
         if head.status != 200:
             raise OSError(f"the node answered {head.status}")
         try:
--- a/test/test_routing_knowledge.py
+++ b/test/test_routing_knowledge.py
@@ -17,8 +17,12 @@
 from amaranthlug.coordination.routing.fleet_view import FleetView
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
 from amaranthlug.coordination.routing.relay import (
+    AVOID_S,
+    SEARCH_S,
     Relay,
     RelayedFollowing,
+    RelayRefusedError,
+    readers_of,
     relays_of,
 )
 from amaranthlug.coordination.routing.server_directory import (
@@ -247,12 +251,90 @@
     nodes = [an_entry("n1"), an_entry("n2"), an_entry("far", "zone-b")]
     child.fleet.nodes = lambda: nodes
     child.me = "n2" if relays_of(nodes, "zone-a")[0].node == "n1" else "n1"
-    first = child.choose()
+    first, second = child.choices()
     assert first.zone == "zone-a"
-    child.leave(first, "lost")
-    assert child.choose().node == "far"
-    child.leave(child.choose(), "lost")
-    assert child.choose() is None
+    assert second.node == "far"
+    child.leave(first, "lost", AVOID_S)
+    assert child.choices() == [second]
+    child.leave(second, "lost", AVOID_S)
+    assert child.choices() == []
+
+
+class Peers:
+    """Exchanges of which only some nodes answer."""
+
+    def __init__(self, relay, able, clock):
+        """Answers by `relay` for the addresses of `able` nodes."""
+        self.relay = relay
+        self.able = able
+        self.clock = clock
+        self.asked = []
+
+    def exchange(self, address, request, timeout_s):
+        """Returns the relay's answer, or refuses."""
+        node = address.split(":")[0]
+        self.asked.append(node)
+        if node not in self.able:
+            raise RelayRefusedError("the node answered 503")
+        return self.relay.answer(request)
+
+
+@pytest.fixture
+def zone_without_relay(pair, monkeypatch):
+    """Returns a node whose zone's relay lost the store; other nodes too."""
+    _, clock, _, _, _, child, _, relay = pair
+    nodes = [an_entry(f"n{n}") for n in range(1, 9)]
+    child.fleet.nodes = lambda: nodes
+    relays, standbys = readers_of(nodes, "zone-a")
+    others = [e for e in nodes if e not in relays + standbys]
+    child.me = others[0].node
+    child.peers = Peers(relay, set(), clock)
+    child.relay = relays[0]
+    monkeypatch.setattr(gevent, "sleep", clock.move)
+    return child, relays, standbys
+
+
+def test_quarter_of_the_nodes_turned_away_by_the_store(zone_without_relay):
+    """A standby that reads the store spares the other nodes' calls to it."""
+    child, _, standbys = zone_without_relay
+    child.peers.able = {standbys[0].node}
+    assert child.find() == standbys[0]
+    assert not child.followers[0].direct.is_set()
+
+
+def test_standby_that_takes_over_is_found(zone_without_relay):
+    """A node waits for a moment before it reads the store as well."""
+    child, relays, standbys = zone_without_relay
+    peers = child.peers
+
+    def take_over():
+        if child.clock() > began + 0.15:
+            peers.able = {standbys[1].node}
+        return False
+
+    began = child.clock()
+    child.is_reader = take_over
+    assert child.find() == standbys[1]
+    assert relays[0].node in peers.asked
+
+
+def test_search_ends_in_time_for_a_new_configuration(zone_without_relay):
+    """A node that nobody helps reads the store itself."""
+    child, _, _ = zone_without_relay
+    began = child.clock()
+    assert child.find() is None
+    assert child.clock() - began <= SEARCH_S
+    child.go_direct()
+    assert child.followers[0].direct.is_set()
+
+
+def test_standby_reads_the_store_without_a_search(zone_without_relay):
+    """Others wait for it, so it does not wait itself."""
+    child, _, standbys = zone_without_relay
+    child.me = standbys[0].node
+    began = child.clock()
+    assert child.find() is None
+    assert child.clock() == began
 
 
 def test_calls_to_the_store_do_not_grow_with_the_nodes():
