--- a/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/engines.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/engines.py
@@ -61,6 +61,8 @@
         self.entry = entry
         self.plan = plan
         self.speed = speed
+        self.waiting: list[Reading] = []
+        self.admitted = 0
         self.queue: list[Reading] = []
         self.numbers = itertools.count()
         self.reading = False
@@ -80,16 +82,31 @@
         urgency: int,
         when_begun: Callable[[], None],
     ) -> None:
-        """Queues a prompt; `when_begun` runs at its first event."""
+        """Queues a prompt; `when_begun` runs at its first event.
+
+        A prompt is read once it has a slot, which `release` gives back.
+        """
         tokens = max(1, request.prompt_tokens - self.found(request, model))
         self.backlog_ms += self.work_ms(tokens, model)
         heapq.heappush(
-            self.queue,
+            self.waiting,
             Reading(urgency, next(self.numbers), tokens, model, when_begun),
         )
+        self.admit()
+
+    def admit(self) -> None:
+        """Gives free slots to the most urgent prompts that wait."""
+        while self.waiting and self.admitted < self.entry.slots:
+            self.admitted += 1
+            heapq.heappush(self.queue, heapq.heappop(self.waiting))
         if not self.reading:
             self.read_chunk()
 
+    def release(self) -> None:
+        """Takes back the slot of an answer that ended."""
+        self.admitted -= 1
+        self.admit()
+
     def work_ms(self, tokens: int, model: SimulatedModel) -> float:
         """Returns the time to read some tokens, in milliseconds."""
         chunks = math.ceil(tokens / CHUNK_TOKENS)
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/run.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/run.py
@@ -203,6 +203,7 @@
     def finish(self, node: Chooser, server: ServerEntry) -> None:
         """Ends an answer."""
         self.running[server.server_id] -= 1
+        self.engines[server.server_id].release()
         node.ended(server)
 
     def summary(self) -> Summary:
--- a/packages/amaranthlug-ui/src/amaranthlug_ui/experiment.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/experiment.py
@@ -132,3 +132,44 @@
             click.echo(f"{name} {field}: {getattr(item, field)}")
         if item.broken():
             click.echo(f"{name}: broken promises: {', '.join(item.broken())}")
+
+
+@experiment.command("simulate")
+@click.option("--nodes", default=8, show_default=True)
+@click.option("--engines", default=9, show_default=True)
+@click.option("--zones", default=4, show_default=True)
+@click.option("--slots", default=48, show_default=True)
+@click.option(
+    "--rate", default=80.0, show_default=True, help="Requests a second."
+)
+@click.option(
+    "--seconds", default=30.0, show_default=True, help="Simulated time."
+)
+@click.option(
+    "--slow",
+    "slow_share",
+    default=0.0,
+    show_default=True,
+    help="Part of the engines that read at a fifth of the pace.",
+)
+@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--choice",
+    "choices",
+    multiple=True,
+    help="Only this way to choose engines; repeatable.",
+)
+def simulate(seed: int, choices: tuple[str, ...], **deployment: Any) -> None:
+    """Compare ways to choose engines off-line, with the product's modules."""
+    simulation = load_standins("simulation.run")
+    unknown = set(choices) - set(simulation.CHOOSERS)
+    if unknown:
+        raise click.ClickException(
+            f"unknown choice {', '.join(sorted(unknown))}; there are "
+            f"{', '.join(simulation.CHOOSERS)}"
+        )
+    for name in choices or simulation.CHOOSERS:
+        run = simulation.Simulation(
+            simulation.Deployment(**deployment), name, seed
+        )
+        click.echo(f"{name:12} {run.run().row()}")
--- a/packages/amaranthlug-ui/src/amaranthlug_ui/main.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/main.py
@@ -89,6 +89,7 @@
         "history": "amaranthlug_ui.history",
         "explain": "amaranthlug_ui.explain",
         "fleet": "amaranthlug_platform.fleet",
+        "journal": "amaranthlug_platform.journal",
     }
 
 
--- a/test/test_placement_simulation.py
+++ b/test/test_placement_simulation.py
@@ -1,8 +1,10 @@
 """Placement and ranks in the off-line simulation; no network."""
 
 import pytest
+from click.testing import CliRunner
 
 from amaranthlug_standins.simulation.run import Deployment, Simulation
+from amaranthlug_ui.main import main
 
 USUAL = Deployment(rate=80.0, seconds=30.0)
 """Engines that read prompts three quarters of the time."""
@@ -42,3 +44,20 @@
     assert (
         summary(slow, "product").in_aim > summary(slow, "random").in_aim + 0.1
     )
+
+
+def test_command_compares_ways_to_choose():
+    """`amaranthlug experiment simulate` prints a line for each way."""
+    arguments = "experiment simulate --seconds 2 --choice product"
+    result = CliRunner().invoke(main, arguments.split())
+    assert result.exit_code == 0
+    assert result.output.startswith("product")
+    assert "in aim" in result.output
+
+
+def test_command_names_the_ways_there_are():
+    """An unknown way is answered by the known ones."""
+    arguments = "experiment simulate --choice best"
+    result = CliRunner().invoke(main, arguments.split())
+    assert result.exit_code == 1
+    assert "least-loaded" in result.output
