Let every node save up enough repeats to ask a larger model

Ruled out: late larger models (the same bar holds later). Every node may save up 2.5; 90 nodes that all spend it stay within 220 + 0.9 a request (test).

--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -55,7 +55,10 @@
     RunningByService,
     sum_running,
 )
-from amaranthlug.state.routing.settings import RoutedNodeSettings
+from amaranthlug.state.routing.settings import (
+    RoutedNodeSettings,
+    RoutingBounds,
+)
 from amaranthlug.transport.routing.text_metrics import TextMetrics
 from amaranthlug.transport.routing.upstreams import HeaderCodec, Upstreams
 
@@ -95,9 +98,28 @@
 """Part of the fleet's retry budget that nodes use; the rest covers uneven
 load, since shares follow the number of nodes."""
 
+LEAST_SAVED = 2.5
+"""Repeats that each node may save up in any fleet: a weak answer costs one and
+must leave one for failures, so with less no larger model is ever asked. With
+the share of `BUDGET_USE`, 90 nodes stay within an allowance of 220."""
+
 log = logging.getLogger(__name__)
 
 
+def saved_repeats(bounds: RoutingBounds, nodes: int, in_window: int) -> float:
+    """Returns the repeats that a node may save up.
+
+    Args:
+        bounds: Bounds of the deployment.
+        nodes: Nodes that share the fleet's allowance.
+        in_window: This node's own requests in the budget's window; what its
+            share leaves of their part of the budget may be saved up too.
+    """
+    saved = bounds.retry_allowance * BUDGET_USE / nodes
+    rest = bounds.retry_share * (1 - BUDGET_USE)
+    return max(LEAST_SAVED, saved + rest * in_window)
+
+
 class RecordCodec(
     OperatorDecoder, ServerDecoder, StatusDecoder, StatusEncoder, Protocol
 ):
@@ -270,11 +292,8 @@
         while now - self.sendings_seen[0][0] > bounds.retry_window_s:
             self.sendings_seen.popleft()
         in_window = sent - self.sendings_seen[0][1]
-        saved = bounds.retry_allowance * BUDGET_USE / nodes
         self.budget.share = bounds.retry_share * BUDGET_USE
-        # What the share leaves of the fleet's budget may be saved up too.
-        rest = bounds.retry_share - self.budget.share
-        self.budget.burst = max(1.0, saved + rest * in_window)
+        self.budget.burst = saved_repeats(bounds, nodes, in_window)
 
     def is_ready(self) -> bool:
         """Tells whether callers may be sent here."""
