--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
@@ -64,7 +64,8 @@
 
 COMPRESSED_BYTES = 4_096
 """Size from which a content is compressed, in bytes. A configuration of 900
-routes has over 200 KB and goes to 24 nodes at once, over links of 5 Mbit/s too."""
+routes has over 200 KB and goes to 24 nodes at once, also over links of 5
+Mbit/s."""
 COMPRESS_LEVEL = 1
 """Level of zlib; a configuration shrinks to a tenth at the fastest."""
 KEPT_COMPRESSED = 8
