Keep one copy of keepers, waits and whole answers

Ruled out: one base for plain and streamed exchanges' constructors and failure notes (they differ in what they take into a version's record).

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -54,7 +54,7 @@
         regained_at: Boot clock at the end of the last outage.
         newest: The record that last changed anything, for each key.
         floor: Offset below which removed keys are not known any more.
-        changed: Set when a record changed anything.
+        direct: Set while this node reads the store itself.
     """
 
     def __init__(
@@ -93,7 +93,6 @@
         self.regained_at = -math.inf
         self.newest: dict[str, KeyedRecord] = {}
         self.floor = 0
-        self.changed = Event()
         self.direct = Event()
         self.direct.set()
         self.greenlet: gevent.Greenlet | None = None
@@ -169,14 +168,12 @@
         self.listener.replace(records)
         self.newest = {record.key: record for record in records}
         self.position = self.floor = position
-        self.changed.set()
 
     def take(self, records: list[KeyedRecord], position: int) -> None:
         """Takes new records."""
         for record in records:
             if self.listener.apply(record):
                 self.newest[record.key] = record
-                self.changed.set()
         self.position = position
         self.forget_removed()
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -173,6 +173,10 @@
         """Returns the time until the final answer is due, in seconds."""
         return self.limit - self.tools.clock()
 
+    def waited_ms(self) -> float:
+        """Returns the time since the request arrived, in milliseconds."""
+        return (self.tools.clock() - self.request.arrived) * 1_000
+
     def may_repeat(self) -> bool:
         """Tells whether the route allows one more sending, and pays for it."""
         if self.sendings >= self.route.max_attempts:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
@@ -123,9 +123,7 @@
         sample = self.random.sample(near, min(len(near), MOST_COMPARED))
         sample += self.random.sample(servers, FAR_COMPARED)
         if subject is not None:
-            sample += heapq.nlargest(
-                KEEPERS, near, key=lambda s: rank(subject, s)
-            )
+            sample += keepers(subject, near)
         return list({server.life: server for server in sample}.values())
 
     def saved_ms(
@@ -134,20 +132,15 @@
         request: RoutedRequest,
         model: str | None,
     ) -> dict[tuple[str, int], float]:
-        """Returns the reading time saved by servers that keep the subject.
-
-        The keepers are the first servers by rendezvous hash, the same at every
-        node, so that few servers keep a subject without any message.
-        """
+        """Returns the reading time saved by servers that keep the subject."""
         subject = request.subject
         if subject is None:
             return {}
         shared = sum(part.tokens for part in request.prompt[:-1])
         pace = self.queues.pace(servers[0].service, model)
-        ranked = sorted(servers, key=lambda s: rank(subject, s), reverse=True)
         return {
             server.life: shared * pace.read_ms / (place + 1)
-            for place, server in enumerate(ranked[:KEEPERS])
+            for place, server in enumerate(keepers(subject, servers))
         }
 
     def plain_ms(self, server: ServerEntry, usual_ms: float | None) -> float:
@@ -179,6 +172,15 @@
         return cost
 
 
-def rank(subject: str, server: ServerEntry) -> int:
-    """Returns the place of a server in a subject's order."""
-    return xxhash.xxh3_64_intdigest(f"{subject}|{server.server_id}".encode())
+def keepers(subject: str, servers: list[ServerEntry]) -> list[ServerEntry]:
+    """Returns the servers that keep a subject, the first one best.
+
+    They are the first by rendezvous hash, the same at every node, so that few
+    servers keep a subject without any message.
+    """
+
+    def rank(server: ServerEntry) -> int:
+        text = f"{subject}|{server.server_id}"
+        return xxhash.xxh3_64_intdigest(text.encode())
+
+    return heapq.nlargest(KEEPERS, servers, key=rank)
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -66,9 +66,7 @@
 
     def deliver(self, head: ReplyHead, body: bytes) -> Ended:
         """Sends a server's answer to the caller."""
-        trace = self.context.trace
-        took_s = self.tools.clock() - self.request.arrived
-        trace.first_event_ms = round(took_s * 1_000, 1)
+        self.context.trace.first_event_ms = round(self.waited_ms(), 1)
         self.writer.whole(head, body)
         outcome = "answered" if head.status < SERVER_ERROR else "server_error"
         return outcome, head.status
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -39,8 +39,6 @@
 FAILURE_RESERVE = 1.0
 """Saved-up repeats that only failures may use; a weak answer is still an
 answer."""
-
-
 TIME_MARGIN = 3.0
 """Multiple of a larger model's usual time to the first event that must be
 left before the objective. The usual time is that without a queue; of 1, 1.5, 2
@@ -203,10 +201,6 @@
         needed_ms = TIME_MARGIN * pace.expected_ms(self.request.prompt_tokens)
         return self.waited_ms() + needed_ms <= self.route.objective_ms
 
-    def waited_ms(self) -> float:
-        """Returns the time since the request arrived, in milliseconds."""
-        return (self.tools.clock() - self.request.arrived) * 1_000
-
     def note_completed(
         self,
         server: ServerEntry,
@@ -332,7 +326,7 @@
     def begin(self, reply: UpstreamReply, events: bytes) -> None:
         """Sends the head with the first events."""
         self.begun = True
-        took_s = self.tools.clock() - self.request.arrived
-        self.context.trace.first_event_ms = round(took_s * 1_000, 1)
-        self.tools.metrics.timing("first_event_ms", took_s * 1_000)
+        waited_ms = self.waited_ms()
+        self.context.trace.first_event_ms = round(waited_ms, 1)
+        self.tools.metrics.timing("first_event_ms", waited_ms)
         self.writer.begin(reply.head, events)
--- a/packages/amaranthlug/src/amaranthlug/transport/logs.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/logs.py
@@ -20,6 +20,7 @@
 """Bound of remembered subjects; all are forgotten at it."""
 
 STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+"""Attributes that every record has; all others are fields of `extra`."""
 
 
 class JsonFormatter(logging.Formatter):
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/decision_log.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/decision_log.py
@@ -11,6 +11,8 @@
 import msgspec
 from gevent.event import Event
 
+from amaranthlug.transport.logs import STANDARD
+
 SERVED_PER_S = 5.0
 """Lines a second for served requests; the rest are counted."""
 FAILED_PER_S = 50.0
@@ -147,6 +149,3 @@
             line["left_out"] = allowance.left_out
             allowance.left_out = 0
         self.writer.put(msgspec.json.encode(line, enc_hook=str) + b"\n")
-
-
-STANDARD = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
@@ -36,6 +36,10 @@
                 return value
         return None
 
+    def closes(self) -> bool:
+        """Tells whether the connection ends with this answer."""
+        return "close" in (self.get("connection") or "").lower()
+
 
 class AnswerParser:
     """Turns bytes into heads, pieces of bodies and ends, in order."""
@@ -160,6 +164,31 @@
             self.answering = False
         return item
 
+    def ask(
+        self, data: bytes, timeout_s: float, most_bytes: int | None = None
+    ) -> tuple[AnswerHead, bytes]:
+        """Sends a whole request and waits for its whole answer.
+
+        Args:
+            data: The request.
+            timeout_s: Longest wait for each part of the answer, in seconds.
+            most_bytes: Largest body; None for any.
+
+        Raises:
+            TimeoutError: Nothing came for `timeout_s` seconds.
+            OSError: The connection or the answer broke, or it is too large.
+        """
+        self.send(data, timeout_s)
+        head = self.read_head(timeout_s)
+        pieces: list[bytes] = []
+        size = 0
+        while (piece := self.read_body(timeout_s)) is not None:
+            size += len(piece)
+            if most_bytes is not None and size > most_bytes:
+                raise BrokenAnswerError("the answer is too large")
+            pieces.append(piece)
+        return head, b"".join(pieces)
+
     def next_item(self, timeout_s: float) -> AnswerHead | bytes | None:
         """Returns what was parsed next, reading as needed."""
         parser = self.parser
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/relay_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/relay_http.py
@@ -93,20 +93,12 @@
         self, connection: HttpConnection, data: bytes, timeout_s: float
     ) -> RelayAnswer:
         """Sends a request and decodes its answer."""
-        connection.send(data, timeout_s)
-        head = connection.read_head(timeout_s)
-        pieces: list[bytes] = []
-        size = 0
-        while (piece := connection.read_body(timeout_s)) is not None:
-            size += len(piece)
-            if size > MAX_ANSWER_BYTES:
-                raise OSError("the answer is too large")
-            pieces.append(piece)
+        head, body = connection.ask(data, timeout_s, MAX_ANSWER_BYTES)
         if head.status == 503:
             raise RelayRefusedError("the node answered 503")
         if head.status != 200:
             raise OSError(f"the node answered {head.status}")
         try:
-            return msgspec.json.decode(b"".join(pieces), type=RelayAnswer)
+            return msgspec.json.decode(body, type=RelayAnswer)
         except msgspec.MsgspecError as error:
             raise OSError(f"the answer cannot be read: {error}") from error
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -240,8 +240,7 @@
         """Wraps the head of an answer."""
         self.sent = sent
         self.head = head
-        closing = (answer.get("connection") or "").lower()
-        if "close" in closing:
+        if answer.closes():
             sent.connection.reusable = False
 
     def read(self, timeout_s: float) -> bytes | None:
--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -20,12 +20,13 @@
 from amaranthlug_platform.store_client import StoreClient
 from amaranthlug_platform_standins.server import ServerStandIn
 from amaranthlug_platform_standins.soak_world import (
+    HOST,
     LISTENERS,
+    a_route,
     free_addresses,
 )
 from amaranthlug_platform_standins.store import StoreStandIn
 
-HOST = "svc.example"
 KEY = "key-1"
 
 
@@ -64,19 +65,7 @@
 
 def a_wire_route(prefix: str, kind: str, **more) -> dict:
     """Returns a route as operators write it."""
-    return {
-        "name": prefix.strip("/"),
-        "hostname": HOST,
-        "path_prefix": prefix,
-        "route_type": kind,
-        "service": "pool",
-        "timeout_ms": 3_000,
-        "target_latency_ms": 500,
-        "max_attempts": 3,
-        "priority": 0,
-        "anonymous": False,
-        **more,
-    }
+    return a_route(prefix, kind, **{"timeout_ms": 3_000, "priority": 0, **more})
 
 
 def a_wire_config(version: int = 1, keys=(KEY,), routes=None) -> dict:
