Divide the relay module by who uses which part

Cause: one module of 459 lines held the messages, the side that answers and the side that looks for a relay, with constants of all three.

--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -19,11 +19,9 @@
 from amaranthlug.coordination.routing.entry_choice import choose_entries
 from amaranthlug.coordination.routing.fleet_view import FleetView
 from amaranthlug.coordination.routing.keyed_store import KeyedStore
-from amaranthlug.coordination.routing.relay import (
-    PeerPort,
-    Relay,
-    RelayedFollowing,
-)
+from amaranthlug.coordination.routing.relay import Relay
+from amaranthlug.coordination.routing.relay_messages import PeerPort
+from amaranthlug.coordination.routing.relayed_following import RelayedFollowing
 from amaranthlug.coordination.routing.rollout_controller import (
     RolloutController,
     StatusEncoder,
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/relay_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/relay_http.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from amaranthlug.coordination.routing.relay import (
-    Relay,
+from amaranthlug.coordination.routing.relay import Relay
+from amaranthlug.coordination.routing.relay_messages import (
     RelayAnswer,
     RelayRefusedError,
     RelayRequest,
--- a/test/test_routing_knowledge.py
+++ b/test/test_routing_knowledge.py
@@ -17,13 +17,15 @@
 from amaranthlug.coordination.routing.entry_choice import choose_entries
 from amaranthlug.coordination.routing.fleet_view import FleetView
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
-from amaranthlug.coordination.routing.relay import (
+from amaranthlug.coordination.routing.relay import Relay
+from amaranthlug.coordination.routing.relay_messages import (
+    RelayRefusedError,
+    RelayRequest,
+)
+from amaranthlug.coordination.routing.relayed_following import (
     AVOID_S,
     SEARCH_S,
-    Relay,
     RelayedFollowing,
-    RelayRefusedError,
-    RelayRequest,
     readers_of,
     relays_of,
 )
