Let the simulation's choosers share what they note

Cause: a Protocol, a base that notes nothing and two choosers that count requests repeated the same signatures and counts; a table of running requests repeated what each engine knows of its slots. One base class, a value for a prompt at an engine, and the engine's own load replace them.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/choosers.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/choosers.py
@@ -1,15 +1,16 @@
 """Ways to choose an engine that the simulation compares."""
 
+import dataclasses
 import random
-from typing import Protocol
 
 from amaranthlug.protocol.routing.engine_queues import EngineQueues
-from amaranthlug.protocol.routing.messages import RoutedRequest, ServerLoad
+from amaranthlug.protocol.routing.messages import ServerLoad
 from amaranthlug.protocol.routing.placement import Placement
 from amaranthlug.protocol.routing.server_health import HealthBook
 from amaranthlug.protocol.routing.urgency import urgency_of
 from amaranthlug.state.routing.servers import ServerEntry
 from amaranthlug_standins.simulation.engines import (
+    SERVICE,
     SimulatedEngine,
     SimulatedModel,
 )
@@ -32,153 +33,58 @@
 """Rank of a prompt that bears none."""
 
 
-class Chooser(Protocol):
-    """Chooses engines for one node and sees what becomes of its requests."""
+@dataclasses.dataclass
+class Sending:
+    """A prompt at one engine; `ticket` is the chooser's own mark."""
 
-    def urgency(self, asked: SimulatedRequest, model: SimulatedModel) -> int:
-        """Returns the rank that engines give a prompt."""
-
-    def pick(
-        self,
-        servers: list[ServerEntry],
-        request: RoutedRequest,
-        model: SimulatedModel,
-    ) -> ServerEntry | None:
-        """Returns the engine for a prompt."""
-
-    def sent(
-        self, server: ServerEntry, request: RoutedRequest, model: SimulatedModel
-    ) -> int:
-        """Notes a sent prompt; returns a ticket."""
-
-    def began(
-        self,
-        server: ServerEntry,
-        request: RoutedRequest,
-        model: SimulatedModel,
-        ticket: int,
-        load: ServerLoad,
-    ) -> None:
-        """Notes the first event."""
-
-    def ended(self, server: ServerEntry) -> None:
-        """Notes the end of an answer."""
-
-
-class ProductChooser:
-    """The product's own modules."""
-
-    def __init__(self, zone: str, clock: SimulatedClock, seed: int):
-        """Creates the modules of one node."""
-        self.health = HealthBook(clock)
-        self.queues = EngineQueues(clock)
-        self.placement = Placement(
-            zone, self.health, self.queues, lambda _: 0.0, seed
-        )
+    asked: SimulatedRequest
+    model: SimulatedModel
+    server: ServerEntry
+    ticket: int = 0
 
-    def pick(
-        self,
-        servers: list[ServerEntry],
-        request: RoutedRequest,
-        model: SimulatedModel,
-    ) -> ServerEntry | None:
-        """Returns the engine for a prompt."""
-        return self.placement.pick_engine(servers, set(), request, model.name)
 
-    def urgency(self, asked: SimulatedRequest, model: SimulatedModel) -> int:
-        """Returns the product's rank."""
-        pace = self.queues.pace("pool", model.name)
-        return urgency_of(
-            objective_ms=asked.kind.objective_ms,
-            waited_ms=(self.queues.clock() - asked.arrived) * 1_000,
-            start_ms=pace.start_ms,
-            read_ms=asked.request.prompt_tokens * pace.read_ms,
-        )
-
-    def sent(
-        self, server: ServerEntry, request: RoutedRequest, model: SimulatedModel
-    ) -> int:
-        """Notes a sent prompt; returns a ticket."""
-        self.health.began(server)
-        return self.queues.sent(server, model.name, request.prompt_tokens)
-
-    def began(
-        self,
-        server: ServerEntry,
-        request: RoutedRequest,
-        model: SimulatedModel,
-        ticket: int,
-        load: ServerLoad,
-    ) -> None:
-        """Notes the first event."""
-        self.queues.began(server, model.name, request.prompt_tokens, ticket)
-        self.health.note_load(server, load)
-
-    def ended(self, server: ServerEntry) -> None:
-        """Notes the end of an answer."""
-        self.health.ended(server)
-
-
-class UnrankedChooser(ProductChooser):
-    """The product's placement with prompts read as they come."""
-
-    def urgency(self, asked: SimulatedRequest, model: SimulatedModel) -> int:
-        """Returns the same rank for all."""
-        return USUAL_URGENCY
-
-
-class BlindChooser:
-    """Random choice; the base of the baselines, which note nothing."""
+class Chooser:
+    """Chooses at random and notes nothing; others do better."""
 
     def __init__(self, seed: int):
-        """Creates a chooser."""
+        """Creates the chooser of one node."""
         self.random = random.Random(seed)
 
     def pick(
         self,
         servers: list[ServerEntry],
-        request: RoutedRequest,
+        asked: SimulatedRequest,
         model: SimulatedModel,
     ) -> ServerEntry | None:
-        """Returns any engine."""
+        """Returns the engine for a prompt."""
         return self.random.choice(servers)
 
     def urgency(self, asked: SimulatedRequest, model: SimulatedModel) -> int:
-        """Returns the same rank for all."""
+        """Returns the rank that engines give a prompt."""
         return USUAL_URGENCY
 
-    def sent(
-        self, server: ServerEntry, request: RoutedRequest, model: SimulatedModel
-    ) -> int:
-        """Notes nothing."""
-        return 0
+    def sent(self, sending: Sending) -> None:
+        """Notes a sent prompt."""
 
-    def began(
-        self,
-        server: ServerEntry,
-        request: RoutedRequest,
-        model: SimulatedModel,
-        ticket: int,
-        load: ServerLoad,
-    ) -> None:
-        """Notes nothing."""
+    def began(self, sending: Sending, load: ServerLoad) -> None:
+        """Notes the first event and the load that the engine tells."""
 
-    def ended(self, server: ServerEntry) -> None:
-        """Notes nothing."""
+    def ended(self, sending: Sending) -> None:
+        """Notes the end of an answer."""
 
 
-class LeastLoadedChooser(BlindChooser):
+class LeastLoadedChooser(Chooser):
     """The engine with the fewest requests by own counts and reports."""
 
     def __init__(self, clock: SimulatedClock, seed: int):
-        """Creates a chooser."""
+        """Creates the chooser of one node."""
         super().__init__(seed)
         self.health = HealthBook(clock)
 
     def pick(
         self,
         servers: list[ServerEntry],
-        request: RoutedRequest,
+        asked: SimulatedRequest,
         model: SimulatedModel,
     ) -> ServerEntry | None:
         """Returns the engine with the lowest known load."""
@@ -187,30 +93,76 @@
             key=lambda s: (self.health.load(s), self.random.random()),
         )
 
-    def sent(
-        self, server: ServerEntry, request: RoutedRequest, model: SimulatedModel
-    ) -> int:
+    def sent(self, sending: Sending) -> None:
         """Counts the request."""
-        self.health.began(server)
-        return 0
+        self.health.began(sending.server)
 
-    def began(
-        self,
-        server: ServerEntry,
-        request: RoutedRequest,
-        model: SimulatedModel,
-        ticket: int,
-        load: ServerLoad,
-    ) -> None:
+    def began(self, sending: Sending, load: ServerLoad) -> None:
         """Takes the reported load."""
-        self.health.note_load(server, load)
+        self.health.note_load(sending.server, load)
 
-    def ended(self, server: ServerEntry) -> None:
+    def ended(self, sending: Sending) -> None:
         """Counts the end."""
-        self.health.ended(server)
+        self.health.ended(sending.server)
+
+
+class UnrankedChooser(LeastLoadedChooser):
+    """The product's placement with prompts read as they come."""
+
+    def __init__(self, zone: str, clock: SimulatedClock, seed: int):
+        """Creates the modules of one node."""
+        super().__init__(clock, seed)
+        self.queues = EngineQueues(clock)
+        self.placement = Placement(
+            zone, self.health, self.queues, lambda _: 0.0, seed
+        )
+
+    def pick(
+        self,
+        servers: list[ServerEntry],
+        asked: SimulatedRequest,
+        model: SimulatedModel,
+    ) -> ServerEntry | None:
+        """Returns the engine that the product chooses."""
+        return self.placement.pick_engine(
+            servers, set(), asked.request, model.name
+        )
+
+    def sent(self, sending: Sending) -> None:
+        """Counts the request and the prompt to read."""
+        super().sent(sending)
+        sending.ticket = self.queues.sent(
+            sending.server,
+            sending.model.name,
+            sending.asked.request.prompt_tokens,
+        )
+
+    def began(self, sending: Sending, load: ServerLoad) -> None:
+        """Takes the time to the first event and the reported load."""
+        self.queues.began(
+            sending.server,
+            sending.model.name,
+            sending.asked.request.prompt_tokens,
+            sending.ticket,
+        )
+        super().began(sending, load)
+
+
+class ProductChooser(UnrankedChooser):
+    """The product's placement and ranks."""
+
+    def urgency(self, asked: SimulatedRequest, model: SimulatedModel) -> int:
+        """Returns the product's rank."""
+        pace = self.queues.pace(SERVICE, model.name)
+        return urgency_of(
+            objective_ms=asked.kind.objective_ms,
+            waited_ms=(self.queues.clock() - asked.arrived) * 1_000,
+            start_ms=pace.start_ms,
+            read_ms=asked.request.prompt_tokens * pace.read_ms,
+        )
 
 
-class OracleChooser(BlindChooser):
+class OracleChooser(Chooser):
     """The engine with the least to read: knows all queues at once."""
 
     def __init__(self, engines: dict[str, SimulatedEngine], seed: int):
@@ -221,7 +173,7 @@
     def pick(
         self,
         servers: list[ServerEntry],
-        request: RoutedRequest,
+        asked: SimulatedRequest,
         model: SimulatedModel,
     ) -> ServerEntry | None:
         """Returns the engine with the least to read."""
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/engines.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/engines.py
@@ -7,9 +7,11 @@
 import math
 from collections.abc import Callable
 
-from amaranthlug.protocol.routing.messages import RoutedRequest
+from amaranthlug.protocol.routing.messages import RoutedRequest, ServerLoad
 from amaranthlug.state.routing.servers import ServerEntry
 
+SERVICE = "pool"
+"""Service of all simulated engines."""
 FIRST_MS = 62.0
 """Time from a read prompt to its first event, in milliseconds."""
 CHUNK_TOKENS = 1_024
@@ -107,6 +109,10 @@
         self.admitted -= 1
         self.admit()
 
+    def load(self) -> ServerLoad:
+        """Returns what the engine tells of its load."""
+        return ServerLoad(self.admitted, len(self.waiting), self.entry.slots)
+
     def work_ms(self, tokens: int, model: SimulatedModel) -> float:
         """Returns the time to read some tokens, in milliseconds."""
         chunks = math.ceil(tokens / CHUNK_TOKENS)
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/run.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/run.py
@@ -7,20 +7,20 @@
 import random
 from collections.abc import Callable
 
-from amaranthlug.protocol.routing.messages import ServerLoad
 from amaranthlug.state.routing.servers import ServerEntry, ServerState
 from amaranthlug_standins.simulation.choosers import (
-    BlindChooser,
     Chooser,
     LeastLoadedChooser,
     OracleChooser,
     ProductChooser,
+    Sending,
     SimulatedClock,
     UnrankedChooser,
 )
 from amaranthlug_standins.simulation.engines import (
     EVENT_MS,
     LARGE,
+    SERVICE,
     SMALL,
     SimulatedEngine,
     SimulatedModel,
@@ -123,7 +123,7 @@
                 ServerEntry(
                     server_id=f"s{n}",
                     started_ms=1,
-                    service="pool",
+                    service=SERVICE,
                     address=f"10.0.{n // 250}.{n % 250}:80",
                     zone=f"zone-{n % deployment.zones}",
                     version="v1",
@@ -138,7 +138,6 @@
         self.servers = [engine.entry for engine in self.engines.values()]
         make = self.maker(chooser)
         self.nodes = [make(n) for n in range(deployment.nodes)]
-        self.running = dict.fromkeys(self.engines, 0)
         self.requests: list[SimulatedRequest] = []
 
     def maker(self, chooser: str) -> Callable[[int], Chooser]:
@@ -151,7 +150,7 @@
             "unranked": lambda n: UnrankedChooser(
                 f"zone-{n % zones}", self.clock, n
             ),
-            "random": BlindChooser,
+            "random": Chooser,
             "least-loaded": lambda n: LeastLoadedChooser(self.clock, n),
             "oracle": lambda n: OracleChooser(self.engines, n),
         }
@@ -188,47 +187,36 @@
         self, asked: SimulatedRequest, node: Chooser, model: SimulatedModel
     ) -> None:
         """Sends a prompt to the engine that its node chooses."""
-        server = node.pick(self.servers, asked.request, model)
+        server = node.pick(self.servers, asked, model)
         if server is None:
             return
-        engine = self.engines[server.server_id]
-        ticket = node.sent(server, asked.request, model)
-        self.running[server.server_id] += 1
-        engine.read(
+        sending = Sending(asked, model, server)
+        node.sent(sending)
+        self.engines[server.server_id].read(
             asked.request,
             model,
             node.urgency(asked, model),
-            lambda: self.begin(asked, node, model, server, ticket),
+            lambda: self.begin(sending, node),
         )
 
-    def begin(
-        self,
-        asked: SimulatedRequest,
-        node: Chooser,
-        model: SimulatedModel,
-        server: ServerEntry,
-        ticket: int,
-    ) -> None:
+    def begin(self, sending: Sending, node: Chooser) -> None:
         """Takes the first event; a weak answer is asked for again."""
-        load = ServerLoad(
-            self.running[server.server_id], 0, self.deployment.slots
-        )
-        node.began(server, asked.request, model, ticket, load)
-        if asked.weak and model is SMALL:
-            self.finish(node, server)
+        asked = sending.asked
+        node.began(sending, self.engines[sending.server.server_id].load())
+        if asked.weak and sending.model is SMALL:
+            self.finish(sending, node)
             self.send(asked, node, LARGE)
             return
         asked.first_ms = (self.clock.now - asked.arrived) * 1_000
-        self.at(
-            self.clock.now + asked.events * EVENT_MS / 1_000,
-            lambda: self.finish(node, server),
+        self.plan(
+            asked.events * EVENT_MS / 1_000,
+            lambda: self.finish(sending, node),
         )
 
-    def finish(self, node: Chooser, server: ServerEntry) -> None:
+    def finish(self, sending: Sending, node: Chooser) -> None:
         """Ends an answer."""
-        self.running[server.server_id] -= 1
-        self.engines[server.server_id].release()
-        node.ended(server)
+        self.engines[sending.server.server_id].release()
+        node.ended(sending)
 
     def summary(self) -> Summary:
         """Sums up the requests after the warm-up."""
