Log what decided the version of a session's request

Each line now bears the session, the entry of this node and what decided; explain prints them. No decision changes.

--- a/packages/amaranthlug-ui/src/amaranthlug_ui/explain.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/explain.py
@@ -115,12 +115,25 @@
     if not line["attempts"]:
         click.echo("  it was sent to no server")
         return
+    if line.get("session"):
+        click.echo(f"  session {line['session']}: {describe_basis(line)}")
     click.echo("  " + " ".join(f"{name:>12}" for name in ATTEMPT_FIELDS))
     for attempt in line["attempts"]:
         cells = (str(attempt.get(name, "")) for name in ATTEMPT_FIELDS)
         click.echo("  " + " ".join(f"{cell:>12}" for cell in cells))
 
 
+def describe_basis(line: dict[str, Any]) -> str:
+    """Returns what decided the version of a request in a session."""
+    known = "not known to this node"
+    if line.get("session_version") is not None:
+        known = (
+            f"on {line['session_version']} at this node "
+            f"{line['session_age_s']} s before"
+        )
+    return f"{known}; version chosen by: {line.get('version_basis')}"
+
+
 @click.command()
 @click.argument("request_id")
 @click.argument(
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/request_log.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/request_log.py
@@ -4,6 +4,7 @@
 from typing import Any, Protocol
 
 from amaranthlug.protocol.routing.messages import RoutedRequest
+from amaranthlug.protocol.routing.session_versions import VersionChoice
 
 
 class DecisionLog(Protocol):
@@ -27,6 +28,7 @@
         attempts: One entry for each attempt at a server.
         first_event_ms: Time to the first event or answer, in milliseconds.
         waited_ms: Time spent waiting for a server, in milliseconds.
+        version_choice: Choice of the version for the first attempt.
     """
 
     request: RoutedRequest
@@ -37,6 +39,7 @@
     attempts: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     first_event_ms: float | None = None
     waited_ms: float = 0.0
+    version_choice: VersionChoice | None = None
 
     def fields(self, outcome: str, status: int, now: float) -> dict[str, Any]:
         """Returns the fields of the log line; `now` is in seconds."""
@@ -56,4 +59,6 @@
             "first_ms": self.first_event_ms,
             "left_ms": round((self.request.deadline - now) * 1_000),
             "attempts": self.attempts,
+            "session": self.request.session,
+            **(self.version_choice.fields() if self.version_choice else {}),
         }
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
@@ -139,7 +139,7 @@
             organisation=holder.organisation if holder else None,
             priority=self.priority_of(route, holder),
             needs_key=holder is not None,
-            candidates=lambda: self.candidates(service, request),
+            candidates=lambda: self.candidates(service, request, trace),
             may_send=self.may_send,
             trace=trace,
         )
@@ -235,15 +235,18 @@
         return self.random.choices(names, weights)[0]
 
     def candidates(
-        self, service: str, request: RoutedRequest
+        self, service: str, request: RoutedRequest, trace: RequestTrace
     ) -> list[ServerEntry]:
         """Returns the servers that may receive a request now."""
         split = self.rollouts.split(
             service, self.servers.usable_servers(service)
         )
-        return self.sessions.servers_for(
+        choice = self.sessions.choose(
             split, request.session, request.request_id
         )
+        if not trace.attempts:
+            trace.version_choice = choice
+        return choice.servers
 
     def retry_later(self, reason: str, message: str) -> RefusedError:
         """Returns a refusal that tells the caller when to retry."""
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -77,6 +77,19 @@
     assert "it was sent to no server" in output
 
 
+def test_version_of_a_session_is_explained(logged):
+    """The line shows what the node knew of the session and what decided."""
+    headers = stream_headers(("Session", "se-1"))
+    for request_id in ("first-1", "second-1"):
+        logged.fleet.call("/cut/x", request_id=request_id, headers=headers)
+    _, output = logged.explain("first-1")
+    assert "session se-1: not known to this node; version chosen by: only" in (
+        output
+    )
+    _, output = logged.explain("second-1")
+    assert "session se-1: on v1 at this node 0" in output
+
+
 def test_broken_stream_is_explained(logged):
     """The command shows the server and the outcome of each attempt."""
     for server in logged.fleet.servers:
--- a/test/test_routing_rollouts.py
+++ b/test/test_routing_rollouts.py
@@ -160,7 +160,7 @@
         sessions.record_version(f"session-{number}", "v1")
     split = harness.split()
     assert all(
-        sessions.servers_for(split, f"session-{number}", "r") == [OLD]
+        sessions.choose(split, f"session-{number}", "r").servers == [OLD]
         for number in range(300)
     )
 
@@ -169,7 +169,8 @@
     """A session that started on the new version is not moved back."""
     sessions = SessionVersions(harness.clock, session_s=5.0)
     sessions.record_version("session", "v2")
-    assert sessions.servers_for(harness.split(), "session", "r") == [NEW]
+    choice = sessions.choose(harness.split(), "session", "r")
+    assert choice.servers == [NEW]
 
 
 def test_nodes_draw_the_same_version_for_a_new_session(harness):
@@ -178,7 +179,8 @@
     tables = [SessionVersions(harness.clock, 5.0) for _ in range(2)]
     for number in range(200):
         first, second = (
-            table.servers_for(split, f"new-{number}", "r") for table in tables
+            table.choose(split, f"new-{number}", "r").servers
+            for table in tables
         )
         assert first == second
 
