Settle the version of a session with its owner during a roll-out

Callers saw answers of two versions within one session: in the first half of a roll-out, sessions that ran on the old version moved to the new one.

Cause: the table of versions was kept by each node for the requests that it had served itself, but the next request of a session reaches another node nearly every time. That node knew nothing and drew the version by the hash of the session, as if it were new. The class of fault: a fact about the fleet decided from the memory of one node.

Evidence: of 263 follow-ups within 8.5 s none came to the same node, and none of the 15 that changed their version had an entry, expired or not, so entries that expire or are passed over are ruled out there.

Why it works: the owner of a session, the first serving node in rendezvous order, holds a write-once version, with a copy at the next node. Sessions in use at the order are announced by the nodes that served them, and no session starts on the new version in the first 2 s. Nodes that join get the versions that they hold from then on.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
@@ -28,6 +28,9 @@
 tenth of the duration."""
 SESSION_HOLD_SHARE = 0.5
 """Share of the duration in which sessions must stay on the old version."""
+NEW_VERSION_DELAY_S = 2.0
+"""Time from the order until sessions may start on the new version, in seconds.
+By then every node knows of the roll-out and has announced its sessions."""
 SHARE_RAMP = ((0.5, 0.4), (0.56, 1.0))
 """Pairs of a share of the duration and the share of requests that the new
 version gets from then on. In the remaining time requests on old servers end."""
@@ -62,12 +65,18 @@
         new: Servers of the version being rolled out.
         share: Share of requests for the new version, 0 to 1.
         keep_sessions: Sessions must stay on their current version.
+        new_may_start: Sessions may start on the new version.
+        target: The new version; empty without an active roll-out.
+        rollout_id: Identifies the active roll-out; empty without one.
     """
 
     old: list[ServerEntry]
     new: list[ServerEntry]
     share: float
-    keep_sessions: bool
+    keep_sessions: bool = False
+    new_may_start: bool = True
+    target: str = ""
+    rollout_id: str = ""
 
 
 @dataclasses.dataclass
@@ -180,20 +189,26 @@
         """Splits servers by version and returns those that may get requests."""
         rollout = self.rollout_of(service)
         if rollout is None:
-            return VersionSplit(servers, [], 0.0, False)
-        target = rollout.order.target
-        new = [s for s in servers if s.version == target]
-        old = [s for s in servers if s.version != target]
+            return VersionSplit(servers, [], 0.0)
+        order = rollout.order
+        new = [s for s in servers if s.version == order.target]
+        old = [s for s in servers if s.version != order.target]
         if rollout.phase is RolloutPhase.COMPLETED:
-            return VersionSplit([], new or old, 1.0, False)
+            return VersionSplit([], new or old, 1.0)
         if rollout.phase is RolloutPhase.REVERTED or rollout.judged_bad:
-            return VersionSplit(old, [], 0.0, False)
+            return VersionSplit(old, [], 0.0)
         elapsed = self.elapsed_s(rollout)
         self.raise_share(rollout, elapsed)
-        if not new:
-            return VersionSplit(old, [], 0.0, False)
-        keep_sessions = elapsed < SESSION_HOLD_SHARE * rollout.order.duration_s
-        return VersionSplit(old, new, rollout.share, keep_sessions)
+        hold_s = SESSION_HOLD_SHARE * order.duration_s
+        return VersionSplit(
+            old,
+            new,
+            rollout.share,
+            keep_sessions=elapsed < hold_s,
+            new_may_start=elapsed >= min(NEW_VERSION_DELAY_S, hold_s),
+            target=order.target,
+            rollout_id=f"{order.service}|{order.target}|{order.offset}",
+        )
 
     def elapsed_s(self, rollout: TrackedRollout) -> float:
         """Returns the time since the roll-out started, in seconds."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -67,7 +67,8 @@
         clock: Returns seconds, including time in which the VM was paused.
         record_outcome: Receives service, version, route and whether the answer
             was bad, for roll-outs.
-        record_session: Receives a session and the version that it runs on.
+        record_session: Receives service, session and the version that the
+            session runs on.
         random: Source of random numbers.
     """
 
@@ -80,7 +81,7 @@
     metrics: Metrics
     clock: Callable[[], float]
     record_outcome: Callable[[str, str, str, bool], None]
-    record_session: Callable[[str | None, str], None]
+    record_session: Callable[[str, str | None, str], None]
     random: random.Random
 
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
@@ -242,7 +242,7 @@
             service, self.servers.usable_servers(service)
         )
         choice = self.sessions.choose(
-            split, request.session, request.request_id
+            split, service, request.session, request.request_id
         )
         if not trace.attempts:
             trace.version_choice = choice
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/session_versions.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/session_versions.py
@@ -4,15 +4,18 @@
 import dataclasses
 import enum
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import xxhash
 
 from amaranthlug.coordination.routing.rollout_tracker import VersionSplit
 from amaranthlug.state.routing.servers import ServerEntry
+from amaranthlug.state.routing.session_claims import SessionClaim
 
 MAX_SESSIONS = 20_000
 """Most sessions kept; the least recently used one is evicted first."""
+LONGEST_REQUEST_S = 25.0
+"""Longest request, in seconds; its session is in use until it ends."""
 HASH_RANGE = float(1 << 32)
 
 
@@ -22,12 +25,14 @@
     Attributes:
         ONLY: One version alone may get requests.
         SESSION: The version that this node knows for the session.
+        OWNER: The version that the owner of the session knows or accepted.
         DRAWN: The hash of the session or request, and the share of the new
             version.
     """
 
     ONLY = "only"
     SESSION = "session"
+    OWNER = "owner"
     DRAWN = "drawn"
 
 
@@ -58,61 +63,134 @@
         }
 
 
+class SharedVersions(Protocol):
+    """Settles the versions of sessions among all nodes."""
+
+    def settle(self, claim: SessionClaim) -> bool:
+        """Returns whether a session uses the new version."""
+        ...
+
+
 class SessionVersions:
     """Keeps the version on which each session's last request ran."""
 
-    def __init__(self, clock: Callable[[], float], session_s: float):
-        """Creates an empty table; `session_s` is the idle limit in seconds."""
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        session_s: float,
+        shared: SharedVersions,
+    ):
+        """Creates an empty table.
+
+        Args:
+            clock: Returns seconds.
+            session_s: Idle time after which a session expires, in seconds.
+            shared: Settles the versions of sessions that may use a new one
+                while sessions must not move.
+        """
         self.clock = clock
         self.session_s = session_s
-        self.versions: collections.OrderedDict[str, tuple[str, float]] = (
-            collections.OrderedDict()
-        )
+        self.shared = shared
+        self.versions: collections.OrderedDict[
+            tuple[str, str], tuple[str, float]
+        ] = collections.OrderedDict()
+        self.announced: dict[str, str] = {}
 
     def choose(
-        self, split: VersionSplit, session: str | None, request_id: str
+        self,
+        split: VersionSplit,
+        service: str,
+        session: str | None,
+        request_id: str,
     ) -> VersionChoice:
         """Chooses the version that a request should use."""
-        known, age_s = self.entry_of(session)
-
-        def choice(
-            servers: list[ServerEntry], basis: VersionBasis
-        ) -> VersionChoice:
-            return VersionChoice(servers, basis, known, age_s)
-
-        if not split.new or split.share <= 0.0:
-            return choice(split.old, VersionBasis.ONLY)
-        if not split.old or split.share >= 1.0:
-            return choice(split.new, VersionBasis.ONLY)
-        if age_s is not None and age_s <= self.session_s:
-            if any(s.version == known for s in split.new):
-                return choice(split.new, VersionBasis.SESSION)
-            if split.keep_sessions:
-                return choice(split.old, VersionBasis.SESSION)
-        position = (
-            xxhash.xxh32_intdigest((session or request_id).encode())
-            / HASH_RANGE
+        known, age_s = self.entry_of(service, session)
+        is_current = age_s is not None and age_s <= self.session_s
+        use_new, basis = self.decide(
+            split, session, request_id, known if is_current else None
         )
-        return choice(
-            split.new if position < split.share else split.old,
-            VersionBasis.DRAWN,
-        )
-
-    def entry_of(self, session: str | None) -> tuple[str | None, float | None]:
+        if not split.new or split.share <= 0.0:
+            use_new, basis = False, VersionBasis.ONLY
+        elif not split.old or split.share >= 1.0:
+            use_new, basis = True, VersionBasis.ONLY
+        servers = split.new if use_new else split.old
+        return VersionChoice(servers, basis, known, age_s)
+
+    def decide(
+        self,
+        split: VersionSplit,
+        session: str | None,
+        request_id: str,
+        known: str | None,
+    ) -> tuple[bool, VersionBasis]:
+        """Returns whether to use the new version, and what decided.
+
+        While sessions must not move, one that is drawn for the new version is
+        settled with its owner: another node may have run it on an old one.
+        """
+        if known is not None and known == split.target:
+            return True, VersionBasis.SESSION
+        is_drawn = draw_position(session or request_id) < split.share
+        if session is None or not split.keep_sessions:
+            return is_drawn and split.new_may_start, VersionBasis.DRAWN
+        if known is not None:
+            return False, VersionBasis.SESSION
+        if not is_drawn:
+            return False, VersionBasis.DRAWN
+        may_start = split.new_may_start and bool(split.new)
+        claim = SessionClaim(split.rollout_id, session, may_start)
+        return self.shared.settle(claim), VersionBasis.OWNER
+
+    def announce(self, service: str, split: VersionSplit) -> None:
+        """Settles, once per roll-out, the sessions that this node has served.
+
+        Without it their owners would not know that they are in use.
+        """
+        if self.announced.get(service) == split.rollout_id:
+            return
+        self.announced[service] = split.rollout_id
+        for session, version in self.sessions_in_use(service):
+            if draw_position(session) < split.share:
+                self.shared.settle(
+                    SessionClaim(
+                        split.rollout_id, session, version == split.target
+                    )
+                )
+
+    def sessions_in_use(self, service: str) -> list[tuple[str, str]]:
+        """Returns the sessions of a service that are in use, with versions."""
+        since = self.clock() - self.session_s - LONGEST_REQUEST_S
+        return [
+            (session, version)
+            for (name, session), (version, used_at) in self.versions.items()
+            if name == service and used_at >= since
+        ]
+
+    def entry_of(
+        self, service: str, session: str | None
+    ) -> tuple[str | None, float | None]:
         """Returns a session's version and the age of its entry, in seconds.
 
         Both are None without an entry; an expired one is returned too.
         """
-        entry = self.versions.get(session) if session is not None else None
-        if entry is None:
+        if session is None or (service, session) not in self.versions:
             return None, None
-        return entry[0], self.clock() - entry[1]
+        version, used_at = self.versions[service, session]
+        return version, self.clock() - used_at
 
-    def record_version(self, session: str | None, version: str) -> None:
+    def record_version(
+        self, service: str, session: str | None, version: str
+    ) -> None:
         """Records the version on which a session's request runs."""
         if session is None:
             return
-        self.versions[session] = (version, self.clock())
-        self.versions.move_to_end(session)
+        key = (service, session)
+        self.versions[key] = (version, self.clock())
+        self.versions.move_to_end(key)
         if len(self.versions) > MAX_SESSIONS:
             self.versions.popitem(last=False)
+
+
+def draw_position(text: str) -> float:
+    """Returns a pseudo-random position from 0 to 1 that all nodes agree on."""
+    return xxhash.xxh32_intdigest(text.encode()) / HASH_RANGE
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -35,6 +35,10 @@
     ServerDecoder,
     ServerDirectory,
 )
+from amaranthlug.coordination.routing.session_owners import (
+    ClaimPort,
+    SessionOwners,
+)
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.protocol.retry_budget import RetryBudget
@@ -129,6 +133,10 @@
     """Encodes and decodes all records of the store."""
 
 
+class NodePort(PeerPort, ClaimPort, Protocol):
+    """Sends all messages to other nodes."""
+
+
 @dataclasses.dataclass(frozen=True)
 class TopicNames:
     """Names of the topics shared with operators and servers."""
@@ -148,7 +156,7 @@
         codec: RecordCodec,
         topics: TopicNames,
         headers: HeaderCodec,
-        peers: PeerPort,
+        peers: NodePort,
         decisions: DecisionLog,
     ):
         """Wires all components; `start` begins to read the store."""
@@ -218,7 +226,12 @@
         self.attempt_counts: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
-        self.sessions = SessionVersions(boot_seconds, settings.bounds.session_s)
+        self.session_owners = SessionOwners(
+            settings.name, self.fleet.nodes, peers, self.metrics
+        )
+        self.sessions = SessionVersions(
+            boot_seconds, settings.bounds.session_s, self.session_owners
+        )
         tools = ExchangeTools(
             port=self.upstreams,
             placement=Placement(
@@ -288,10 +301,22 @@
         self.update_retry_budget()
 
     def advance_rollouts(self) -> None:
-        """Writes due roll-out phases if this node is ready."""
+        """Announces sessions and writes due phases if this node is ready."""
         if self.controller.has_active_rollout() and self.is_ready():
+            gevent.spawn(self.share_sessions)
             self.controller.write_due_phases()
 
+    def share_sessions(self) -> None:
+        """Keeps the owners of sessions informed while sessions must not move.
+
+        Called again before it ends, it sends nothing twice.
+        """
+        for service in list(self.rollouts.orders()):
+            split = self.rollouts.split(service, [])
+            if split.keep_sessions:
+                self.sessions.announce(service, split)
+                self.session_owners.hand_over()
+
     def prune_departed_servers(self) -> None:
         """Drops health, queues and connections of servers that are gone."""
         listed = [known.entry for known in self.servers.known.values()]
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -0,0 +1,177 @@
+"""Messages between nodes as JSON over HTTP."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import msgspec
+
+from amaranthlug.coordination.routing.relay import Relay
+from amaranthlug.coordination.routing.relay_messages import (
+    RelayAnswer,
+    RelayRefusedError,
+    RelayRequest,
+)
+from amaranthlug.coordination.routing.session_owners import (
+    ClaimAnswer,
+    ClaimRequest,
+    SessionOwners,
+)
+from amaranthlug.transport.routing.http_client import (
+    HttpConnection,
+    render_request,
+)
+from amaranthlug.transport.routing.http_server import (
+    IncomingRequest,
+    Responder,
+)
+
+EXCHANGE_PATH = "/peer/exchange"
+CLAIM_PATH = "/peer/session-claim"
+CONNECT_TIMEOUT_S = 0.3
+"""Longest wait for a connection to another node, in seconds."""
+MAX_ANSWER_BYTES = 16 << 20
+"""Largest response of a node, in bytes; a configuration with thousands of
+routes takes less than a tenth of it."""
+MAX_IDLE_CONNECTIONS = 2
+"""Most idle connections kept to a node: one for exchanges with a relay, which
+it holds open for a while, and one for claims."""
+
+Message = TypeVar("Message")
+
+
+class PeerEndpoint:
+    """Serves relay exchanges and claims on sessions to other nodes."""
+
+    def __init__(self, relay: Relay, owners: SessionOwners):
+        """Creates an endpoint for the relay and the session owner."""
+        self.handlers: dict[str, tuple[type, Callable[[Any], Any]]] = {
+            EXCHANGE_PATH: (RelayRequest, relay.answer),
+            CLAIM_PATH: (ClaimRequest, owners.answer),
+        }
+
+    def handle(self, incoming: IncomingRequest, responder: Responder) -> None:
+        """Answers one message, with 503 if the node cannot do so now."""
+        if incoming.target not in self.handlers:
+            responder.send_response(404, [], b"")
+            return
+        request_type, answer_to = self.handlers[incoming.target]
+        try:
+            request: Any = msgspec.json.decode(incoming.body, type=request_type)
+        except msgspec.MsgspecError as error:
+            responder.send_response(400, [], str(error).encode())
+            return
+        answer = answer_to(request)
+        if answer is None:
+            responder.send_response(503, [], b"")
+            return
+        responder.send_response(
+            200,
+            [("Content-Type", "application/json")],
+            msgspec.json.encode(answer),
+        )
+
+
+class HttpPeers:
+    """Implements `PeerPort` and `ClaimPort` with kept connections."""
+
+    def __init__(self) -> None:
+        """Creates a client without connections."""
+        self.connections: dict[str, list[HttpConnection]] = {}
+
+    def exchange(
+        self, address: str, request: RelayRequest, timeout_s: float
+    ) -> RelayAnswer:
+        """Returns the answer of the relay at `address`.
+
+        Raises:
+            RelayRefusedError: The node does not currently read the store.
+            OSError: The node could not be reached or its response is invalid.
+        """
+        return self.post(
+            address, EXCHANGE_PATH, request, timeout_s, RelayAnswer
+        )
+
+    def claim(
+        self, address: str, request: ClaimRequest, timeout_s: float
+    ) -> ClaimAnswer:
+        """Returns the answer of the session owner at `address`.
+
+        Raises:
+            OSError: The node could not be reached or its response is invalid.
+        """
+        return self.post(address, CLAIM_PATH, request, timeout_s, ClaimAnswer)
+
+    def post(
+        self,
+        address: str,
+        path: str,
+        request: Any,
+        timeout_s: float,
+        answer_type: type[Message],
+    ) -> Message:
+        """Sends a message to the node at `address`; returns its answer.
+
+        Raises:
+            RelayRefusedError: The node answered 503.
+            OSError: The node could not be reached or its response is invalid.
+        """
+        connection = self.take_connection(address, timeout_s)
+        body = msgspec.json.encode(request)
+        headers = [("Host", address), ("Content-Length", str(len(body)))]
+        try:
+            answer = self.send_request(
+                connection,
+                render_request("POST", path, headers, body),
+                timeout_s,
+                answer_type,
+            )
+        except BaseException:
+            connection.close()
+            raise
+        self.keep_connection(address, connection)
+        return answer
+
+    def take_connection(self, address: str, timeout_s: float) -> HttpConnection:
+        """Returns an idle connection to a node, or opens one.
+
+        Raises:
+            OSError: The node could not be reached.
+        """
+        idle = self.connections.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_open_and_idle():
+                return connection
+            connection.close()
+        return HttpConnection.open(address, min(CONNECT_TIMEOUT_S, timeout_s))
+
+    def keep_connection(self, address: str, connection: HttpConnection) -> None:
+        """Keeps a connection for the next message, or closes a surplus one."""
+        idle = self.connections.setdefault(address, [])
+        if len(idle) < MAX_IDLE_CONNECTIONS:
+            idle.append(connection)
+        else:
+            connection.close()
+
+    def send_request(
+        self,
+        connection: HttpConnection,
+        data: bytes,
+        timeout_s: float,
+        answer_type: type[Message],
+    ) -> Message:
+        """Sends a rendered request and decodes the response.
+
+        Raises:
+            RelayRefusedError: The node answered 503.
+            OSError: The connection failed or the response is invalid.
+        """
+        head, body = connection.request(data, timeout_s, MAX_ANSWER_BYTES)
+        if head.status == 503:
+            raise RelayRefusedError("the node answered 503")
+        if head.status != 200:
+            raise OSError(f"the node answered {head.status}")
+        try:
+            return msgspec.json.decode(body, type=answer_type)
+        except msgspec.MsgspecError as error:
+            raise OSError(f"malformed response of a node: {error}") from error
--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -12,7 +12,7 @@
     HttpConnection,
     render_request,
 )
-from amaranthlug.transport.routing.relay_http import HttpPeers
+from amaranthlug.transport.routing.peer_http import HttpPeers
 from amaranthlug_platform.headers import PlatformHeaders
 from amaranthlug_platform.listeners import NodeListeners
 from amaranthlug_platform.main import TOPICS
--- a/test/test_routing_rollouts.py
+++ b/test/test_routing_rollouts.py
@@ -9,6 +9,7 @@
 )
 from amaranthlug.coordination.routing.rollout_tracker import (
     CANARY_SHARE,
+    NEW_VERSION_DELAY_S,
     RolloutTracker,
 )
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
@@ -18,6 +19,7 @@
     RolloutPhase,
     is_bad,
 )
+from amaranthlug.state.routing.session_claims import SessionRegister
 from amaranthlug_platform.records import PlatformRecords
 
 OLD, NEW = make_server("s1"), make_server("s2", version="v2")
@@ -153,36 +155,117 @@
     assert harness.split().share == CANARY_SHARE
 
 
+def make_sessions(harness, register=None):
+    """Returns a node's table of sessions; `register` stands for the owners."""
+    return SessionVersions(
+        harness.clock, 5.0, register or SessionRegister(harness.clock)
+    )
+
+
+def choose_servers(sessions, split, session):
+    """Returns the servers that a session may use."""
+    return sessions.choose(split, "pool", session, "r").servers
+
+
 def test_session_stays_on_its_version_in_the_first_half(harness):
     """A session that started on the old version is not moved."""
-    sessions = SessionVersions(harness.clock, session_s=5.0)
+    sessions = make_sessions(harness)
+    harness.clock.advance(NEW_VERSION_DELAY_S)
     for number in range(300):
-        sessions.record_version(f"session-{number}", "v1")
+        sessions.record_version("pool", f"session-{number}", "v1")
     split = harness.split()
     assert all(
-        sessions.choose(split, f"session-{number}", "r").servers == [OLD]
+        choose_servers(sessions, split, f"session-{number}") == [OLD]
         for number in range(300)
     )
 
 
 def test_session_on_the_new_version_stays_there(harness):
     """A session that started on the new version is not moved back."""
-    sessions = SessionVersions(harness.clock, session_s=5.0)
-    sessions.record_version("session", "v2")
-    choice = sessions.choose(harness.split(), "session", "r")
-    assert choice.servers == [NEW]
+    sessions = make_sessions(harness)
+    sessions.record_version("pool", "session", "v2")
+    assert choose_servers(sessions, harness.split(), "session") == [NEW]
 
 
 def test_nodes_draw_the_same_version_for_a_new_session(harness):
     """Nodes agree on the version of a session without communicating."""
+    harness.clock.advance(NEW_VERSION_DELAY_S)
     split = harness.split()
-    tables = [SessionVersions(harness.clock, 5.0) for _ in range(2)]
+    tables = [make_sessions(harness) for _ in range(2)]
+    drawn = []
     for number in range(200):
         first, second = (
-            table.choose(split, f"new-{number}", "r").servers
-            for table in tables
+            choose_servers(table, split, f"new-{number}") for table in tables
         )
         assert first == second
+        drawn.append(first)
+    assert [NEW] in drawn
+
+
+def test_sessions_start_on_the_new_version_after_the_announcements(harness):
+    """Before that a node may not know that a session runs elsewhere."""
+    sessions = make_sessions(harness)
+    names = [f"new-{number}" for number in range(200)]
+    split = harness.split()
+    assert all(choose_servers(sessions, split, n) == [OLD] for n in names)
+    harness.clock.advance(NEW_VERSION_DELAY_S)
+    split = harness.split()
+    assert all(choose_servers(sessions, split, n) == [OLD] for n in names)
+    assert any(
+        choose_servers(sessions, split, f"later-{number}") == [NEW]
+        for number in range(200)
+    )
+
+
+def test_session_without_new_servers_in_sight_stays_on_the_old_version(harness):
+    """It ran on the old version, though its node had no server of the new."""
+    register = SessionRegister(harness.clock)
+    before, after = (make_sessions(harness, register) for _ in range(2))
+    harness.clock.advance(NEW_VERSION_DELAY_S)
+    without_new = harness.tracker.split("pool", [OLD])
+    for number in range(200):
+        session = f"session-{number}"
+        assert choose_servers(before, without_new, session) == [OLD]
+        assert choose_servers(after, harness.split(), session) == [OLD]
+
+
+def test_sessions_of_other_nodes_are_announced(harness):
+    """A session that ran before the order is known to its owner."""
+    register = SessionRegister(harness.clock)
+    before, after = (make_sessions(harness, register) for _ in range(2))
+    for number in range(200):
+        before.record_version("pool", f"session-{number}", "v1")
+        before.record_version("other", f"foreign-{number}", "v1")
+    before.announce("pool", harness.split())
+    harness.clock.advance(NEW_VERSION_DELAY_S)
+    split = harness.split()
+    assert all(
+        choose_servers(after, split, f"session-{number}") == [OLD]
+        for number in range(200)
+    )
+    assert any(
+        choose_servers(after, split, f"foreign-{number}") == [NEW]
+        for number in range(200)
+    )
+
+
+def test_only_sessions_that_may_move_are_announced(harness):
+    """Messages at a roll-out are a small share of the sessions in use."""
+    claims = []
+
+    class CountingRegister(SessionRegister):
+        def settle(self, claim):
+            claims.append(claim)
+            return super().settle(claim)
+
+    sessions = make_sessions(harness, CountingRegister(harness.clock))
+    for number in range(1_000):
+        sessions.record_version("pool", f"session-{number}", "v1")
+    sessions.announce("pool", harness.split())
+    assert 0 < len(claims) < 2 * CANARY_SHARE * 1_000
+    announced = len(claims)
+    sessions.announce("pool", harness.split())
+    assert len(claims) == announced
 
 
 def make_controller(
