Record the session of whole answers too

Callers of a plain service could change their version within a session at a roll-out. Cause: only streams recorded the version of their session, so a node announced no session of a plain service to its owner, and the owner took the next request for the first one.

The version is now recorded in one place, before any attempt of an exchange.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -150,6 +150,9 @@
             if not self.context.may_send(self.context):
                 break
             self.tried.add(server.instance_key)
+            self.tools.record_session(
+                self.context.service_name, self.request.session, server.version
+            )
             try:
                 result = self.attempt(server)
             except UpstreamCallError as failure:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -120,9 +120,6 @@
             last_event=self.splitter.last_event,
         )
         tools.health.record_start(server)
-        tools.record_session(
-            self.context.service_name, self.request.session, server.version
-        )
         tokens = self.request.prompt_tokens
         ticket = tools.queues.record_send(server, call.model, tokens)
         try:
--- a/test/test_routing_rollouts.py
+++ b/test/test_routing_rollouts.py
@@ -13,7 +13,10 @@
     RolloutTracker,
 )
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
-from amaranthlug.protocol.routing.session_versions import SessionVersions
+from amaranthlug.protocol.routing.session_versions import (
+    LONGEST_REQUEST_S,
+    SessionVersions,
+)
 from amaranthlug.state.routing.rollout import (
     OutcomeCount,
     RolloutPhase,
@@ -249,6 +252,23 @@
     )
 
 
+def test_session_of_a_long_request_is_announced(harness):
+    """A long stream is still in use after the idle time of its session."""
+    register = SessionRegister(harness.clock)
+    before, after = (make_sessions(harness, register) for _ in range(2))
+    for number in range(200):
+        before.record_version("pool", f"session-{number}", "v1")
+    harness.clock.advance(LONGEST_REQUEST_S)
+    harness.tracker.rollouts.clear()
+    before.announce("pool", harness.split())
+    harness.clock.advance(NEW_VERSION_DELAY_S)
+    split = harness.split()
+    assert all(
+        choose_servers(after, split, f"session-{number}") == [OLD]
+        for number in range(200)
+    )
+
+
 def test_only_sessions_that_may_move_are_announced(harness):
     """Messages at a roll-out are a small share of the sessions in use."""
     claims = []
--- a/test/test_session_versions.py
+++ b/test/test_session_versions.py
@@ -35,12 +35,12 @@
             ).start()
         )
 
-    def run(self, session: str, node: int) -> str:
+    def run(self, session: str, node: int, target: str = "/cut/x") -> str:
         """Sends a request of a session; returns the version that ran it."""
         self.requests += 1
         request_id = f"request-{self.requests}"
         answer = self.fleet.call(
-            "/cut/x",
+            target,
             node=node,
             request_id=request_id,
             headers=stream_headers(("Session", session)),
@@ -69,18 +69,32 @@
     started.fleet.stop()
 
 
-# Guards against issue 21: a node that does not know a session drew another
-# version for it than the one on which another node had just run it.
-def test_session_keeps_its_version_at_another_node(rollout):
-    """A session that began before a roll-out stays on the old version."""
+def find_moved_sessions(rollout, target: str) -> list[str]:
+    """Returns the sessions that a roll-out moves when they change their node.
+
+    Each session runs once before the roll-out and once after its start.
+    """
     sessions = [f"session-{number}" for number in range(SESSIONS)]
     for number, session in enumerate(sessions):
-        assert rollout.run(session, number % NODES) == "v1"
+        assert rollout.run(session, number % NODES, target) == "v1"
     rollout.start_rollout(duration_s=30.0)
     rollout.wait_until_new_version_runs()
-    moved = [
+    return [
         session
         for number, session in enumerate(sessions)
-        if rollout.run(session, (number + 1) % NODES) != "v1"
+        if rollout.run(session, (number + 1) % NODES, target) != "v1"
     ]
-    assert moved == []
+
+
+# Guards against issue 21: a node that does not know a session drew another
+# version for it than the one on which another node had just run it.
+def test_session_keeps_its_version_at_another_node(rollout):
+    """A session that began before a roll-out stays on the old version."""
+    assert find_moved_sessions(rollout, "/cut/x") == []
+
+
+# Guards against sessions of plain services that are not announced at a
+# roll-out, since only streams recorded the version of their session.
+def test_session_of_a_plain_service_keeps_its_version(rollout):
+    """Whole answers belong to sessions as streams do."""
+    assert find_moved_sessions(rollout, "/safe/x") == []
