Share the age of a roll-out among nodes instead of the time of day

A node whose time of day was more than 3 s ahead of that of the VM which recorded the start held the first half of a roll-out to be over: it moved sessions and, with enough answers, sent all requests to the new version. A node that started within 3 s of the order stayed behind by that time, so sessions went back to the old version there.

Nodes now report the age of each roll-out since they saw its order, and take a higher age from others; no node can see an order before it is given, so the highest is nearest to the truth. The time of day counts only at a node that started after the order and only until another node reports the age.

--- a/packages/amaranthlug-ui/src/amaranthlug_ui/explain.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/explain.py
@@ -89,6 +89,7 @@
         "relay_lost",
         "reload",
         "rollout",
+        "rollout_age",
         "rollout_share",
         "start",
         "stop",
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -20,7 +20,9 @@
     FleetReport,
     NodeEntry,
     NodeReport,
+    RolloutAges,
     RunningByService,
+    highest_ages,
     merge_reports,
     sum_evidence,
     sum_running,
@@ -57,11 +59,13 @@
         nodes: All live nodes.
         evidence: Answer counts of all nodes but the receiving one.
         running: Requests in flight at all nodes but the receiving one.
+        rollout_ages: Ages of active roll-outs when the relay answered.
     """
 
     nodes: list[NodeEntry]
     evidence: EvidenceByRollout
     running: RunningByService
+    rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
 
 
 class FleetView:
@@ -197,6 +201,7 @@
             self.nodes(),
             sum_evidence([others.evidence, *(r.evidence for r in received)]),
             sum_running([others.running, *(r.running for r in received)]),
+            highest_ages([others.rollout_ages, self.reported_ages()]),
         )
 
     def removable_report_keys(self, own_name: str) -> list[str]:
@@ -219,9 +224,13 @@
 
         A report's age is taken at the last complete read of the store.
         """
+        return [received.report for received in self.live_received(excluded)]
+
+    def live_received(self, excluded: str) -> list[ReceivedReport]:
+        """Returns the same reports with the times of their receipt."""
         read_at = self.follower.confirmed_at
         return [
-            received.report
+            received
             for received in self.reports.values()
             if received.report.reporter != excluded
             and read_at - received.received_at < MAX_REPORT_AGE_S
@@ -260,6 +269,29 @@
         parts += [member.running for member in self.live_members()]
         return sum_running(parts)
 
+    def rollout_ages(self) -> RolloutAges:
+        """Returns the ages of roll-outs by other nodes, as of now."""
+        if self.summary is not None:
+            elapsed_s = self.clock() - self.summary_received_at
+            ages = self.summary.rollout_ages
+            return {name: age + elapsed_s for name, age in ages.items()}
+        members = [member.rollout_ages for member in self.live_members()]
+        return highest_ages([*members, self.reported_ages()])
+
+    def reported_ages(self) -> RolloutAges:
+        """Returns the ages of roll-outs in the reports of others, as of now."""
+        now = self.clock()
+        own_name = self.describe_node().entry.node
+        return highest_ages(
+            [
+                {
+                    name: age + now - received.received_at
+                    for name, age in received.report.rollout_ages.items()
+                }
+                for received in self.live_received(own_name)
+            ]
+        )
+
     def age_s(self) -> float:
         """Returns the age of the data about other nodes, in seconds."""
         if self.summary is not None:
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
@@ -8,7 +8,7 @@
 
 from amaranthlug.coordination.boot_clock import boot_seconds
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
-from amaranthlug.state.routing.fleet import EvidenceByRollout
+from amaranthlug.state.routing.fleet import EvidenceByRollout, RolloutAges
 from amaranthlug.state.routing.rollout import (
     OutcomeCount,
     RolloutEvidence,
@@ -34,6 +34,9 @@
 SHARE_RAMP = ((0.5, 0.4), (0.56, 1.0))
 """Pairs of a share of the duration and the share of requests that the new
 version gets from then on. In the remaining time requests on old servers end."""
+AGE_TOLERANCE_S = 0.2
+"""Difference in the ages of a roll-out that is not corrected, in seconds; an
+order reaches nodes that many milliseconds apart."""
 MIN_ANSWERS = 20
 """Minimum answers of the new version before its share grows beyond the canary
 share."""
@@ -81,15 +84,33 @@
 
 @dataclasses.dataclass
 class TrackedRollout:
-    """This node's view of a roll-out."""
+    """This node's view of a roll-out.
+
+    Attributes:
+        order: The operator's order.
+        started_at: Clock at its start, in seconds.
+        start_is_known: The start was seen by this node or by another one; else
+            it is an estimate by the time of day, which differs between VMs.
+        status: The recorded state.
+        evidence: Answers that this node has counted.
+        share: Share of requests for the new version.
+        judged_bad: The evidence has shown that the new version is bad.
+    """
 
     order: RolloutOrder
     started_at: float
+    start_is_known: bool = True
     status: RolloutStatus | None = None
     evidence: RolloutEvidence = dataclasses.field(default_factory=dict)
     share: float = CANARY_SHARE
     judged_bad: bool = False
 
+    @property
+    def rollout_id(self) -> str:
+        """Returns an id that a repeated order for a version does not share."""
+        order = self.order
+        return f"{order.service}|{order.target}|{order.offset}"
+
     @property
     def phase(self) -> RolloutPhase:
         """The recorded phase; active if none is recorded yet."""
@@ -160,30 +181,59 @@
         if order is None:
             return None
         rollout = self.rollouts.get(service)
+        status = self.statuses.get(service)
         if rollout is None or rollout.order != order:
-            rollout = TrackedRollout(order, self.clock())
+            rollout = self.track(order, status)
             self.rollouts[service] = rollout
-        status = self.statuses.get(service)
-        if status is not None and status is not rollout.status:
-            self.apply_status(rollout, status)
+        if status is not None and status.target == order.target:
+            rollout.status = status
         return rollout
 
-    def apply_status(
-        self, rollout: TrackedRollout, status: RolloutStatus
-    ) -> None:
-        """Applies a recorded state if its target is that of the order."""
-        if status.target != rollout.order.target:
-            return
-        rollout.status = status
-        # A node that joined later takes the start time from the record.
-        recorded_age_s = time.time() - status.began_ms / 1_000
-        seen_age_s = self.clock() - rollout.started_at
-        if (
-            seen_age_s + MAX_EVIDENCE_AGE_S
-            < recorded_age_s
-            < 2 * rollout.order.duration_s
-        ):
-            rollout.started_at = self.clock() - recorded_age_s
+    def track(
+        self, order: RolloutOrder, status: RolloutStatus | None
+    ) -> TrackedRollout:
+        """Begins to track a roll-out.
+
+        If its state is recorded already, this node may have started after the
+        order; until another node tells, the record says when that was.
+        """
+        now = self.clock()
+        if status is None or status.target != order.target:
+            return TrackedRollout(order, now)
+        age_s = time.time() - status.began_ms / 1_000
+        if not 0 < age_s < 2 * order.duration_s:
+            age_s = 0.0
+        return TrackedRollout(order, now - age_s, start_is_known=False)
+
+    def adopt_ages(self, ages: RolloutAges) -> None:
+        """Corrects the starts of roll-outs that other nodes saw earlier."""
+        for rollout in self.rollouts.values():
+            age_s = ages.get(rollout.rollout_id)
+            if age_s is None:
+                continue
+            own_age_s = self.elapsed_s(rollout)
+            if rollout.start_is_known and age_s <= own_age_s + AGE_TOLERANCE_S:
+                continue
+            rollout.started_at = self.clock() - age_s
+            rollout.start_is_known = True
+            log.info(
+                "roll-out of %s started %.1f s ago, not %.1f s",
+                rollout.order.service,
+                age_s,
+                own_age_s,
+                extra={
+                    "event": "rollout_age",
+                    "service": rollout.order.service,
+                },
+            )
+
+    def own_ages(self) -> RolloutAges:
+        """Returns the ages of active roll-outs whose start is known."""
+        return {
+            rollout.rollout_id: self.elapsed_s(rollout)
+            for rollout in self.rollouts.values()
+            if rollout.phase is RolloutPhase.ACTIVE and rollout.start_is_known
+        }
 
     def split(self, service: str, servers: list[ServerEntry]) -> VersionSplit:
         """Splits servers by version and returns those that may get requests."""
@@ -207,7 +257,7 @@
             keep_sessions=elapsed < hold_s,
             new_may_start=elapsed >= min(NEW_VERSION_DELAY_S, hold_s),
             target=order.target,
-            rollout_id=f"{order.service}|{order.target}|{order.offset}",
+            rollout_id=rollout.rollout_id,
         )
 
     def elapsed_s(self, rollout: TrackedRollout) -> float:
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -302,6 +302,7 @@
 
     def advance_rollouts(self) -> None:
         """Announces sessions and writes due phases if this node is ready."""
+        self.rollouts.adopt_ages(self.fleet.rollout_ages())
         if self.controller.has_active_rollout() and self.is_ready():
             gevent.spawn(self.share_sessions)
             self.controller.write_due_phases()
@@ -372,7 +373,10 @@
             serving=self.is_ready(),
         )
         return NodeReport(
-            entry, self.rollouts.own_evidence(), self.running_by_version()
+            entry,
+            self.rollouts.own_evidence(),
+            self.running_by_version(),
+            self.rollouts.own_ages(),
         )
 
     def running_by_version(self) -> RunningByService:
--- a/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
@@ -8,6 +8,8 @@
 """Roll-out -> answer counts by version and route."""
 RunningByService = dict[str, dict[str, int]]
 """Service -> version -> requests in flight."""
+RolloutAges = dict[str, float]
+"""Id of a roll-out -> seconds since its order reached the first node."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +42,7 @@
     entry: NodeEntry
     evidence: EvidenceByRollout
     running: RunningByService
+    rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,12 +54,14 @@
         nodes: The reporter and the nodes for which it reads.
         evidence: Sum of the answer counts of these nodes.
         running: Sum of the requests in flight of these nodes.
+        rollout_ages: Ages of active roll-outs that these nodes know.
     """
 
     reporter: str
     nodes: list[NodeEntry]
     evidence: EvidenceByRollout
     running: RunningByService
+    rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
 
 
 def sum_evidence(parts: list[EvidenceByRollout]) -> EvidenceByRollout:
@@ -79,6 +84,18 @@
     return total
 
 
+def highest_ages(parts: list[RolloutAges]) -> RolloutAges:
+    """Returns the highest age of each roll-out.
+
+    No node can have learned of an order before it was given.
+    """
+    highest: RolloutAges = {}
+    for part in parts:
+        for rollout, age_s in part.items():
+            highest[rollout] = max(age_s, highest.get(rollout, 0.0))
+    return highest
+
+
 def merge_reports(reporter: str, reports: list[NodeReport]) -> FleetReport:
     """Combines the reports of several nodes into one fleet report."""
     return FleetReport(
@@ -86,4 +103,5 @@
         [report.entry for report in reports],
         sum_evidence([report.evidence for report in reports]),
         sum_running([report.running for report in reports]),
+        highest_ages([report.rollout_ages for report in reports]),
     )
--- a/test/test_routing_knowledge.py
+++ b/test/test_routing_knowledge.py
@@ -561,3 +561,27 @@
     ]
     found = choose_entries(nodes, "zone-a", "region", random.Random(1))
     assert len(found) == 3
+
+
+def test_ages_of_roll_outs_reach_all_nodes_and_grow_on_the_way():
+    """Through a member's report, the store, another relay and its summary."""
+    store, clock = FakeStore(), FakeClock()
+    first, second, member = (
+        FleetView(node_store, lambda name=name: make_report(name), clock=clock)
+        for name, node_store in (
+            ("n1", store),
+            ("n2", store),
+            ("n3", FakeStore()),
+        )
+    )
+    reporting = make_report("n0")
+    reporting.rollout_ages["pool|v2|5"] = 4.0
+    first.update_member(reporting)
+    first.sync()
+    second.sync()
+    clock.advance(1.0)
+    assert second.rollout_ages() == {"pool|v2|5": 5.0}
+    member.set_summary(second.summary_for("n3"))
+    clock.advance(0.5)
+    assert member.rollout_ages() == {"pool|v2|5": 5.5}
+    assert FleetView(store, lambda: make_report("n9")).rollout_ages() == {}
--- a/test/test_routing_rollouts.py
+++ b/test/test_routing_rollouts.py
@@ -1,5 +1,7 @@
 """Tests of roll-outs: shares, pooled evidence and steps; no network."""
 
+import time
+
 import pytest
 from _routing import FakeClock, FakeStore, make_order, make_report, make_server
 
@@ -367,3 +369,56 @@
     harness.add_answers("v2", 20, bad=10)
     controller.write_due_phases()
     assert b"reverted" in store.records[-1].value
+
+
+def record_active(harness, began_ms):
+    """Gives the tracker the record of an active roll-out."""
+    body = (
+        '{"service":"pool","target":"v2","state":"active",'
+        f'"began_ms":{began_ms}}}'
+    ).encode()
+    harness.tracker.apply(KeyedRecord("rollout/pool", body, 1))
+
+
+# Guards against a roll-out that a node advances alone, since the time of day of
+# its VM differs from that of the VM which recorded the start.
+def test_time_of_day_does_not_advance_a_roll_out(harness):
+    """All nodes must be in the same half of a roll-out."""
+    harness.add_answers("v1", 400)
+    harness.add_answers("v2", 40)
+    record_active(harness, int((time.time() - 15.0) * 1_000))
+    split = harness.split()
+    assert split.keep_sessions
+    assert split.share == CANARY_SHARE
+
+
+def test_node_that_learns_of_an_order_late_takes_the_age_from_others(harness):
+    """A node that was cut off must not hold sessions longer than the others."""
+    harness.add_answers("v1", 400)
+    harness.add_answers("v2", 40)
+    harness.tracker.adopt_ages({"pool|v2|5": 15.0, "pool|v1|2": 99.0})
+    assert harness.split().share == 1.0
+    assert harness.tracker.own_ages() == {"pool|v2|5": 15.0}
+    harness.tracker.adopt_ages({"pool|v2|5": 3.0})
+    assert harness.tracker.own_ages() == {"pool|v2|5": 15.0}
+
+
+def test_age_by_other_nodes_replaces_the_age_by_the_record(harness):
+    """A restarted node whose time of day is ahead is corrected by others."""
+    record_active(harness, int((time.time() - 15.0) * 1_000))
+    harness.tracker.rollouts.clear()
+    assert not harness.split().keep_sessions
+    assert harness.tracker.own_ages() == {}
+    harness.tracker.adopt_ages({"pool|v2|5": 4.0})
+    assert harness.split().keep_sessions
+    assert harness.tracker.own_ages() == {"pool|v2|5": 4.0}
+
+
+def test_record_gives_the_age_after_a_restart_of_all_nodes(harness):
+    """No other node knows it, and the roll-out must end in its time."""
+    record_active(harness, int((time.time() - 15.0) * 1_000))
+    harness.tracker.rollouts.clear()
+    harness.split()
+    harness.tracker.adopt_ages({})
+    elapsed = harness.tracker.elapsed_s(harness.tracker.rollout_of("pool"))
+    assert elapsed == pytest.approx(15.0, abs=1.0)
