Renew the copy of a session's version while the session is in use

A session that lives longer than a minute could change its version when its owner was lost in a long roll-out. Cause: the copy was sent with the first claim only and expired after 60 s, however often the owner was asked. The owner sends the copy again once it is 30 s old. Entries of nodes that did not answer are dropped when they have expired, so that the table does not grow with each node that was replaced.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/session_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/session_owners.py
@@ -130,13 +130,18 @@
         The node with the copy may know the session from the time when it was
         the owner itself.
         """
-        if self.register.find(claim) is None:
-            for node in self.available(self.copy_holders(claim.session)):
-                request = ClaimRequest(claim, True)
-                known = self.ask(node, request, COPY_TIMEOUT_S)
-                if known is not None:
-                    claim = dataclasses.replace(claim, on_target=known)
-        return self.register.settle(claim)
+        if not self.register.needs_copy(claim):
+            return self.register.settle(claim)
+        known = self.register.find(claim)
+        if known is not None:
+            claim = dataclasses.replace(claim, on_target=known)
+        for node in self.available(self.copy_holders(claim.session)):
+            copied = self.ask(node, ClaimRequest(claim, True), COPY_TIMEOUT_S)
+            if known is None and copied is not None:
+                claim = dataclasses.replace(claim, on_target=copied)
+        on_target = self.register.settle(claim)
+        self.register.mark_copied(claim)
+        return on_target
 
     def hand_over(self) -> None:
         """Sends the versions of sessions to nodes that now hold them.
@@ -144,6 +149,12 @@
         When several nodes join at once, the owner of a session and its copy may
         both be new.
         """
+        now = self.clock()
+        self.avoided_until = {
+            name: until
+            for name, until in self.avoided_until.items()
+            if until > now
+        }
         nodes = {(e.node, e.incarnation) for e in self.nodes() if e.serving}
         added = {name for name, _ in nodes - self.known_nodes}
         self.known_nodes = nodes
--- a/packages/amaranthlug/src/amaranthlug/state/routing/session_claims.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/session_claims.py
@@ -2,11 +2,14 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable
 
 CLAIM_TTL_S = 60.0
 """Time after its last use at which an entry expires, in seconds; longer than a
 request and the idle time of a session together."""
+COPY_REFRESH_S = CLAIM_TTL_S / 2
+"""Time after which the owner of a session renews the copy, in seconds."""
 MAX_CLAIMS = 20_000
 """Most entries kept; the least recently used one is evicted first."""
 
@@ -26,6 +29,21 @@
     on_target: bool
 
 
+@dataclasses.dataclass
+class RegisteredVersion:
+    """The version of a session in a register.
+
+    Attributes:
+        on_target: The session uses the new version, else an older one.
+        used_at: Clock at its last use, in seconds.
+        copied_at: Clock when another node last got a copy, in seconds.
+    """
+
+    on_target: bool
+    used_at: float
+    copied_at: float = -math.inf
+
+
 class SessionRegister:
     """Write-once register of the versions of sessions.
 
@@ -36,32 +54,49 @@
         """Creates an empty register; `clock` returns seconds."""
         self.clock = clock
         self.entries: collections.OrderedDict[
-            tuple[str, str], tuple[bool, float]
+            tuple[str, str], RegisteredVersion
         ] = collections.OrderedDict()
 
     def find(self, claim: SessionClaim) -> bool | None:
         """Returns whether a session uses the new version, None if unknown."""
         entry = self.entries.get((claim.rollout, claim.session))
-        if entry is None or self.clock() - entry[1] > CLAIM_TTL_S:
+        if entry is None or self.clock() - entry.used_at > CLAIM_TTL_S:
             return None
-        return entry[0]
+        return entry.on_target
 
     def claims(self) -> list[SessionClaim]:
         """Returns the known versions."""
         since = self.clock() - CLAIM_TTL_S
         return [
-            SessionClaim(rollout, session, on_target)
-            for (rollout, session), (on_target, used_at) in self.entries.items()
-            if used_at >= since
+            SessionClaim(rollout, session, entry.on_target)
+            for (rollout, session), entry in self.entries.items()
+            if entry.used_at >= since
         ]
 
     def settle(self, claim: SessionClaim) -> bool:
         """Returns the known version, or stores and returns the proposed one."""
         known = self.find(claim)
-        on_target = claim.on_target if known is None else known
         key = (claim.rollout, claim.session)
-        self.entries[key] = (on_target, self.clock())
+        if known is None:
+            self.entries[key] = RegisteredVersion(claim.on_target, 0.0)
+        entry = self.entries[key]
+        entry.used_at = self.clock()
         self.entries.move_to_end(key)
         if len(self.entries) > MAX_CLAIMS:
             self.entries.popitem(last=False)
-        return on_target
+        return entry.on_target
+
+    def needs_copy(self, claim: SessionClaim) -> bool:
+        """Returns whether the copy is missing or about to expire."""
+        entry = self.entries.get((claim.rollout, claim.session))
+        return (
+            self.find(claim) is None
+            or entry is None
+            or self.clock() - entry.copied_at > COPY_REFRESH_S
+        )
+
+    def mark_copied(self, claim: SessionClaim) -> None:
+        """Records that another node has a copy."""
+        entry = self.entries.get((claim.rollout, claim.session))
+        if entry is not None:
+            entry.copied_at = self.clock()
--- a/test/test_session_owners.py
+++ b/test/test_session_owners.py
@@ -95,6 +95,17 @@
     assert not any(fleet.settle(name, "s", True) for name in others)
 
 
+def test_copy_of_a_long_session_does_not_expire(fleet):
+    """The owner renews it while the session is in use."""
+    owner = fleet.owner_of("s")
+    for _ in range(8):
+        assert not fleet.settle(owner, "s", False)
+        fleet.clock.advance(CLAIM_TTL_S / 4)
+    fleet.lost.add(owner)
+    other = next(name for name in fleet.parts if name != owner)
+    assert not fleet.settle(other, "s", True)
+
+
 def test_version_is_known_to_an_owner_that_joins(fleet):
     """Added nodes take over sessions whose version they must not change."""
     sessions = [f"s{number}" for number in range(100)]
