Limit the idle connections to other nodes

Connections to the 64 most recently used nodes are kept, two to each; the tests need MAX_IDLE_NODES and fail without the limit.

--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -1,5 +1,6 @@
 """Messages between nodes as JSON over HTTP."""
 
+import collections
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -36,6 +37,10 @@
 """Most idle connections kept to a node: one for exchanges with a relay, which
 it holds open for a while, and one for claims."""
 
+MAX_IDLE_NODES = 64
+"""Most nodes to which idle connections are kept; those of the least recently
+used one are closed first, also if that node is gone."""
+
 Message = TypeVar("Message")
 
 
@@ -76,7 +81,9 @@
 
     def __init__(self) -> None:
         """Creates a client without connections."""
-        self.connections: dict[str, list[HttpConnection]] = {}
+        self.connections: collections.OrderedDict[str, list[HttpConnection]] = (
+            collections.OrderedDict()
+        )
 
     def exchange(
         self, address: str, request: RelayRequest, timeout_s: float
@@ -148,10 +155,15 @@
     def keep_connection(self, address: str, connection: HttpConnection) -> None:
         """Keeps a connection for the next message, or closes a surplus one."""
         idle = self.connections.setdefault(address, [])
+        self.connections.move_to_end(address)
         if len(idle) < MAX_IDLE_CONNECTIONS:
             idle.append(connection)
         else:
             connection.close()
+        if len(self.connections) > MAX_IDLE_NODES:
+            _, unused = self.connections.popitem(last=False)
+            for former in unused:
+                former.close()
 
     def send_request(
         self,
--- a/test/test_session_owners.py
+++ b/test/test_session_owners.py
@@ -13,6 +13,11 @@
     SessionClaim,
     SessionRegister,
 )
+from amaranthlug.transport.routing.peer_http import (
+    MAX_IDLE_CONNECTIONS,
+    MAX_IDLE_NODES,
+    HttpPeers,
+)
 
 
 class CountingMetrics:
@@ -204,3 +209,36 @@
         register.settle(SessionClaim("r", f"s{number}", False))
     assert len(register.entries) == MAX_CLAIMS
     assert register.find(SessionClaim("r", "s0", True)) is None
+
+
+class FakeConnection:
+    """An idle connection that can be closed."""
+
+    def __init__(self):
+        """Starts open."""
+        self.is_closed = False
+
+    def close(self):
+        """Closes it."""
+        self.is_closed = True
+
+
+def test_connections_to_former_nodes_are_closed():
+    """Hundreds of nodes are replaced a day, and descriptors are limited."""
+    peers = HttpPeers()
+    connections = [FakeConnection() for _ in range(3 * MAX_IDLE_NODES)]
+    for number, connection in enumerate(connections):
+        peers.keep_connection(f"n{number}:1", connection)
+    still_open = [c for c in connections if not c.is_closed]
+    assert still_open == connections[-MAX_IDLE_NODES:]
+
+
+def test_surplus_connection_to_a_node_is_closed():
+    """A few claims at once do not leave as many idle connections."""
+    peers = HttpPeers()
+    connections = [FakeConnection() for _ in range(MAX_IDLE_CONNECTIONS + 1)]
+    for connection in connections:
+        peers.keep_connection("n1:1", connection)
+    assert [c.is_closed for c in connections].count(False) == (
+        MAX_IDLE_CONNECTIONS
+    )
