Give the streams of the drain test time to end before their deadline

Cause: the stream takes 4.0 s and the caller of the test waits 4.0 s, of which the node grants 0.1 s more; with 0.106 s between events, which load can cause, it fails 3 of 3 times. The node cut the stream for the caller's deadline and not for its drain, which is what the test is about. The deadline is 8 s now, within which the drain must be whole as before; with 0.106 s between events it passes 3 of 3 times.

--- a/test/test_platform_path.py
+++ b/test/test_platform_path.py
@@ -401,6 +401,7 @@
                 "/stream/x",
                 request_id=f"r{number}",
                 headers=stream_headers(),
+                deadline_ms=8_000,
             )
             for number in range(4)
         ]
