Take no start of a roll-out as seen before the recorded states are read

After a restart of all nodes a roll-out could begin anew and miss its end. Cause: a node that read the order before the recorded state took its own start for that of the roll-out and reported it, and the others, which only had an estimate by the time of day, adopted it. A fault of the shared ages, found in reading them; test_order_read_before_the_recorded_state_is_not_new failed before (the start was reported) and passes. Until the states are read a start counts as unknown, and it is taken from the record when that arrives.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
@@ -144,11 +144,13 @@
         self.clock = clock
         self.statuses: dict[str, RolloutStatus] = {}
         self.rollouts: dict[str, TrackedRollout] = {}
+        self.has_read_statuses = False
 
     def replace(self, records: list[KeyedRecord]) -> None:
         """Applies a full read of the recorded states."""
         for record in records:
             self.apply(record)
+        self.has_read_statuses = True
 
     def apply(self, record: KeyedRecord) -> bool:
         """Applies a recorded state; False if the record holds none."""
@@ -182,10 +184,16 @@
             return None
         rollout = self.rollouts.get(service)
         status = self.statuses.get(service)
-        if rollout is None or rollout.order != order:
+        if status is not None and status.target != order.target:
+            status = None
+        if (
+            rollout is None
+            or rollout.order != order
+            or (rollout.status is None and not rollout.start_is_known)
+        ):
             rollout = self.track(order, status)
             self.rollouts[service] = rollout
-        if status is not None and status.target == order.target:
+        if status is not None:
             rollout.status = status
         return rollout
 
@@ -198,8 +206,10 @@
         order; until another node tells, the record says when that was.
         """
         now = self.clock()
-        if status is None or status.target != order.target:
-            return TrackedRollout(order, now)
+        if status is None:
+            return TrackedRollout(
+                order, now, start_is_known=self.has_read_statuses
+            )
         age_s = time.time() - status.began_ms / 1_000
         if not 0 < age_s < 2 * order.duration_s:
             age_s = 0.0
--- a/test/test_routing_rollouts.py
+++ b/test/test_routing_rollouts.py
@@ -46,6 +46,7 @@
             lambda: self.evidence_age_s,
             self.clock,
         )
+        self.tracker.replace([])
         self.tracker.rollout_of("pool")
 
     def split(self):
@@ -422,3 +423,24 @@
     harness.tracker.adopt_ages({})
     elapsed = harness.tracker.elapsed_s(harness.tracker.rollout_of("pool"))
     assert elapsed == pytest.approx(15.0, abs=1.0)
+
+
+# Guards against a restart of all nodes that begins a roll-out anew: a node that
+# reads the order before the recorded state takes its own start for that of the
+# roll-out, and the others believe it.
+def test_order_read_before_the_recorded_state_is_not_new(harness):
+    """The start counts as seen only if no state was recorded before it."""
+    tracker = RolloutTracker(
+        PlatformRecords(),
+        lambda: harness.orders,
+        list,
+        lambda: 0.5,
+        harness.clock,
+    )
+    harness.tracker = tracker
+    assert tracker.rollout_of("pool") is not None
+    assert tracker.own_ages() == {}
+    record_active(harness, int((time.time() - 15.0) * 1_000))
+    elapsed = tracker.elapsed_s(tracker.rollout_of("pool"))
+    assert elapsed == pytest.approx(15.0, abs=1.0)
+    assert tracker.own_ages() == {}
