Bill requests whose answer from an engine was malformed

A request that an engine had run was not billed if the engine's answer could not be parsed and the request was then given up. Cause: the list of failures after which tokens may have been generated held resets, cuts and timeouts, but not malformed answers. Ruled out as reasons that need a bill: an error status or a draining engine (nothing ran) and an empty answer (no token).

--- a/packages/amaranthlug/src/amaranthlug/protocol/sender.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/sender.py
@@ -39,7 +39,7 @@
 """Server crashes after which a step is not retried. A request that crashes
 every server it runs on must not reach a third one."""
 CRASH_REASONS = frozenset({"reset", "cut"})
-UNKNOWN_EFFECT_REASONS = CRASH_REASONS | {"timeout"}
+UNKNOWN_EFFECT_REASONS = CRASH_REASONS | {"timeout", "malformed"}
 """Failures after which the engine may or may not have generated tokens."""
 DEFAULT_RETRY_AFTER_S = 1.0
 """Default Retry-After after an upstream failure, in seconds."""
--- a/test/test_dispatch.py
+++ b/test/test_dispatch.py
@@ -146,6 +146,7 @@
         ("status", TAG, False),
         ("reset", TAG, False),
         ("timeout", TAG, False),
+        ("malformed", TAG, False),
     ],
 )
 def test_retry_rules(reason, kind, retried):
