--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/session_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/session_owners.py
@@ -80,7 +80,7 @@
         metrics: Metrics,
         clock: Callable[[], float] = boot_seconds,
     ):
-        """Creates the part with an empty register.
+        """Creates a node's view of the owners, with an empty register.
 
         Args:
             own_name: Name of this node.
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/session_versions.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/session_versions.py
@@ -63,6 +63,19 @@
         }
 
 
+@dataclasses.dataclass(frozen=True)
+class SessionEntry:
+    """What a node knows of a session that it has served.
+
+    Attributes:
+        version: Version on which its last request ran.
+        used_at: Clock when that request was sent, in seconds.
+    """
+
+    version: str
+    used_at: float
+
+
 class SharedVersions(Protocol):
     """Settles the versions of sessions among all nodes."""
 
@@ -92,7 +105,7 @@
         self.session_s = session_s
         self.shared = shared
         self.versions: collections.OrderedDict[
-            tuple[str, str], tuple[str, float]
+            tuple[str, str], SessionEntry
         ] = collections.OrderedDict()
         self.announced: dict[str, str] = {}
 
@@ -104,7 +117,9 @@
         request_id: str,
     ) -> VersionChoice:
         """Chooses the version that a request should use."""
-        known, age_s = self.entry_of(service, session)
+        entry = self.versions.get((service, session)) if session else None
+        known = entry.version if entry else None
+        age_s = self.clock() - entry.used_at if entry else None
         is_current = age_s is not None and age_s <= self.session_s
         use_new, basis = self.decide(
             split, session, request_id, known if is_current else None
@@ -161,23 +176,11 @@
         """Returns the sessions of a service that are in use, with versions."""
         since = self.clock() - self.session_s - LONGEST_REQUEST_S
         return [
-            (session, version)
-            for (name, session), (version, used_at) in self.versions.items()
-            if name == service and used_at >= since
+            (session, entry.version)
+            for (name, session), entry in self.versions.items()
+            if name == service and entry.used_at >= since
         ]
 
-    def entry_of(
-        self, service: str, session: str | None
-    ) -> tuple[str | None, float | None]:
-        """Returns a session's version and the age of its entry, in seconds.
-
-        Both are None without an entry; an expired one is returned too.
-        """
-        if session is None or (service, session) not in self.versions:
-            return None, None
-        version, used_at = self.versions[service, session]
-        return version, self.clock() - used_at
-
     def record_version(
         self, service: str, session: str | None, version: str
     ) -> None:
@@ -185,7 +188,7 @@
         if session is None:
             return
         key = (service, session)
-        self.versions[key] = (version, self.clock())
+        self.versions[key] = SessionEntry(version, self.clock())
         self.versions.move_to_end(key)
         if len(self.versions) > MAX_SESSIONS:
             self.versions.popitem(last=False)
