Check the versions of sessions in the soak

Streams now belong to sessions, half of which may use the new version early, and half of the seeds have a roll-out beside their faults. A session that changes its version in the first half within 5 s is a broken promise, unless an unplanned fault came up to 4 s before; SIGTERM, SIGHUP, drained servers and withdrawn keys do not excuse it. Requests and faults of earlier seeds are drawn as before.

--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -3,7 +3,14 @@
 import pytest
 
 from amaranthlug_platform_standins.soak import run_seed
-from amaranthlug_platform_standins.soak_callers import Call, check_call
+from amaranthlug_platform_standins.soak_callers import (
+    CONTACT_S,
+    SESSION_S,
+    Call,
+    check_call,
+    find_moved_sessions,
+)
+from amaranthlug_platform_standins.soak_fleet import ROLLOUT_S
 
 
 @pytest.mark.processes
@@ -17,6 +24,9 @@
         # A server was drained while the store was silent. Nodes read its entry
         # 2 s after the store was back, which the check did not allow.
         pytest.param(49, 4, id="server left during an outage"),
+        # Nodes that do not settle versions with the owners of sessions move
+        # two of them here.
+        pytest.param(181, 4, id="sessions in a roll-out"),
     ],
 )
 def test_seed_breaks_no_promise(tmp_path, seed, nodes):
@@ -60,3 +70,67 @@
     """A call answered once, or refused and not run, keeps the promises."""
     assert check_call(make_call(), 1) == []
     assert check_call(make_call(status=503), 0) == []
+
+
+class FleetRecord:
+    """What the check of sessions reads of a fleet."""
+
+    def __init__(self, rollout_started_at=0.0, disruption=None):
+        """Keeps two servers without arrivals."""
+        self.rollout_started_at = rollout_started_at
+        self.disruption = disruption
+        self.servers = [ServerRecord("v1")]
+        self.new_servers = [ServerRecord("v2")]
+
+    def was_undisrupted(self, since, until):
+        """Tells whether the disruption lies outside the span."""
+        return self.disruption is None or not since <= self.disruption <= until
+
+
+class ServerRecord:
+    """A server's version and arrivals."""
+
+    def __init__(self, version):
+        """Starts without arrivals."""
+        self.version = version
+        self.arrivals = []
+
+
+def find_moves(fleet, gap_s=1.0, versions=("v1", "v2"), ended_at=2.0):
+    """Returns the findings on two calls of a session, `gap_s` apart."""
+    calls = [
+        make_call(
+            request_id=f"r{number}",
+            session="s",
+            sent_at=at,
+            ended_at=at + 0.5,
+        )
+        for number, at in enumerate((ended_at - 0.5, ended_at + gap_s))
+    ]
+    for call, version in zip(calls, versions, strict=True):
+        servers = fleet.servers if version == "v1" else fleet.new_servers
+        servers[0].arrivals.append((call.sent_at, call.request_id))
+    return find_moved_sessions(fleet, calls)
+
+
+@pytest.mark.parametrize("versions", [("v1", "v2"), ("v2", "v1")])
+def test_session_that_moves_is_found(versions):
+    """Either way, in the first half of a roll-out."""
+    (line,) = find_moves(FleetRecord(), versions=versions)
+    assert f"moved from {versions[0]}" in line
+
+
+@pytest.mark.parametrize(
+    ("fleet", "options"),
+    [
+        (FleetRecord(), {"versions": ("v1", "v1")}),
+        (FleetRecord(), {"gap_s": SESSION_S}),
+        (FleetRecord(), {"ended_at": ROLLOUT_S / 2}),
+        (FleetRecord(rollout_started_at=None), {}),
+        (FleetRecord(disruption=1.5 - CONTACT_S), {}),
+    ],
+    ids=["same", "idle", "second half", "no roll-out", "disrupted"],
+)
+def test_session_that_may_move_is_not_found(fleet, options):
+    """An idle session is over, and faults may hide an owner."""
+    assert find_moves(fleet, **options) == []
