--- a/packages/amaranthlug-ui/src/amaranthlug_ui/explain.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/explain.py
@@ -85,6 +85,7 @@
     {
         "config",
         "direct",
+        "owner_lost",
         "relay",
         "relay_lost",
         "reload",
