--- a/test/test_session_owners.py
+++ b/test/test_session_owners.py
@@ -111,6 +111,19 @@
     assert not fleet.settle(other, "s", True)
 
 
+def test_lost_copy_is_sent_again(fleet):
+    """The next claim must bring the copy that a lost message did not."""
+    owner, holder, _ = (e.node for e in fleet.parts["n0"].ranked_nodes("s"))
+    fleet.lost.add(holder)
+    assert not fleet.settle(owner, "s", False)
+    fleet.lost.clear()
+    fleet.clock.advance(AVOID_S + 0.1)
+    assert not fleet.settle(owner, "s", False)
+    fleet.lost.add(owner)
+    other = next(n for n in fleet.parts if n not in (owner, holder))
+    assert not fleet.settle(other, "s", True)
+
+
 def test_version_is_known_to_an_owner_that_joins(fleet):
     """Added nodes take over sessions whose version they must not change."""
     sessions = [f"s{number}" for number in range(100)]
