Read a node's registration without its whole report; use rendezvous_order

No decision changes.

- Each claim on a session listed the nodes up to twice, and FleetView.nodes() built this node's whole report, with the requests at every server, to read its registration.
- hand_over listed the nodes again for each session; it does so once.
- The ages of roll-outs were gathered three times a second without a roll-out.
- The order of a session's nodes was hashed here again; state/rendezvous.py has the same order.
The expiry of an entry stood in three places of the register.
- The test brought its own counting metrics; _fakes_log has them.

Ruled out: sharing the pool of UpstreamPool with HttpPeers, which expires by the server's limit and list and not by last use.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -82,6 +82,7 @@
         describe_node: Callable[[], NodeReport],
         breaker: StoreCircuitBreaker | None = None,
         clock: Callable[[], float] = boot_seconds,
+        describe_entry: Callable[[], NodeEntry] | None = None,
     ):
         """Creates a view.
 
@@ -90,9 +91,12 @@
             describe_node: Returns this node's own report.
             breaker: Shared by all calls to the store from this node.
             clock: Returns seconds.
+            describe_entry: Returns this node's registration alone, which
+                needs no counts of its servers; by default that of its report.
         """
         self.store = store
         self.describe_node = describe_node
+        self.describe_entry = describe_entry or (lambda: describe_node().entry)
         self.clock = clock
         self.reports: dict[str, ReceivedReport] = {}
         self.members: dict[str, tuple[NodeReport, float]] = {}
@@ -157,9 +161,7 @@
 
     def withdraw(self) -> None:
         """Removes this node's report from the store at shutdown."""
-        self.store.append(
-            NODES_TOPIC, [(self.describe_node().entry.node, None)]
-        )
+        self.store.append(NODES_TOPIC, [(self.describe_entry().node, None)])
 
     def fleet_report(self) -> FleetReport:
         """Returns the combined report of this node and its members."""
@@ -238,7 +240,7 @@
 
     def nodes(self) -> list[NodeEntry]:
         """Returns all live nodes, including this one."""
-        mine = self.describe_node().entry
+        mine = self.describe_entry()
         if self.summary is not None:
             found = {entry.node: entry for entry in self.summary.nodes}
         else:
@@ -256,7 +258,7 @@
         """Returns the answer counts reported by other nodes."""
         if self.summary is not None:
             return [self.summary.evidence]
-        mine = self.describe_node().entry.node
+        mine = self.describe_entry().node
         parts = [report.evidence for report in self.live_reports(mine)]
         return parts + [member.evidence for member in self.live_members()]
 
@@ -264,7 +266,7 @@
         """Returns the requests in flight at other nodes."""
         if self.summary is not None:
             return self.summary.running
-        mine = self.describe_node().entry.node
+        mine = self.describe_entry().node
         parts = [report.running for report in self.live_reports(mine)]
         parts += [member.running for member in self.live_members()]
         return sum_running(parts)
@@ -281,7 +283,7 @@
     def reported_ages(self) -> RolloutAges:
         """Returns the ages of roll-outs in the reports of others, as of now."""
         now = self.clock()
-        own_name = self.describe_node().entry.node
+        own_name = self.describe_entry().node
         return highest_ages(
             [
                 {
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/session_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/session_owners.py
@@ -7,15 +7,13 @@
 """
 
 import dataclasses
-import heapq
 import logging
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-import xxhash
-
 from amaranthlug.coordination.boot_clock import boot_seconds
 from amaranthlug.coordination.platform import Metrics
+from amaranthlug.state.rendezvous import rendezvous_order
 from amaranthlug.state.routing.fleet import NodeEntry
 from amaranthlug.state.routing.session_claims import (
     SessionClaim,
@@ -155,14 +153,15 @@
             for name, until in self.avoided_until.items()
             if until > now
         }
-        nodes = {(e.node, e.incarnation) for e in self.nodes() if e.serving}
+        serving = self.serving_nodes()
+        nodes = {(e.node, e.incarnation) for e in serving.values()}
         added = {name for name, _ in nodes - self.known_nodes}
         self.known_nodes = nodes
         added.discard(self.own_name)
         if not added:
             return
         for claim in self.register.claims():
-            holders = self.ranked_nodes(claim.session)[:MAX_OWNERS_TRIED]
+            holders = rank_nodes(claim.session, serving)[:MAX_OWNERS_TRIED]
             for node in self.available(holders):
                 if node.node in added:
                     self.ask(node, ClaimRequest(claim, True), COPY_TIMEOUT_S)
@@ -200,10 +199,17 @@
 
     def ranked_nodes(self, session: str) -> list[NodeEntry]:
         """Returns the first serving nodes in rendezvous order of a session."""
-        return heapq.nlargest(
-            MAX_OWNERS_TRIED + 1,
-            (entry for entry in self.nodes() if entry.serving),
-            key=lambda e: xxhash.xxh3_64_intdigest(
-                f"{session}|{e.node}".encode()
-            ),
-        )
+        return rank_nodes(session, self.serving_nodes())
+
+    def serving_nodes(self) -> dict[str, NodeEntry]:
+        """Returns the serving nodes by name."""
+        return {entry.node: entry for entry in self.nodes() if entry.serving}
+
+
+def rank_nodes(session: str, serving: dict[str, NodeEntry]) -> list[NodeEntry]:
+    """Returns the first of `serving` in rendezvous order of a session.
+
+    They are the owner, the node with the copy, and the one that follows them.
+    """
+    names = rendezvous_order(session, serving)[: MAX_OWNERS_TRIED + 1]
+    return [serving[name] for name in names]
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -187,7 +187,12 @@
             SERVERS_READ_PAUSE_S,
             breaker,
         )
-        self.fleet = FleetView(store, self.node_report, breaker)
+        self.fleet = FleetView(
+            store,
+            self.node_report,
+            breaker,
+            describe_entry=self.node_entry,
+        )
         self.rollouts = RolloutTracker(
             codec,
             lambda: self.config.orders,
@@ -301,9 +306,14 @@
         self.update_retry_budget()
 
     def advance_rollouts(self) -> None:
-        """Announces sessions and writes due phases if this node is ready."""
+        """Corrects the ages of active roll-outs.
+
+        Also announces sessions and writes due phases if this node is ready.
+        """
+        if not self.controller.has_active_rollout():
+            return
         self.rollouts.adopt_ages(self.fleet.rollout_ages())
-        if self.controller.has_active_rollout() and self.is_ready():
+        if self.is_ready():
             gevent.spawn(self.share_sessions)
             self.controller.write_due_phases()
 
@@ -360,10 +370,10 @@
         config = self.config.config
         return config.limits if config is not None else CallerLimits()
 
-    def node_report(self) -> NodeReport:
-        """Returns this node's report for the other nodes."""
+    def node_entry(self) -> NodeEntry:
+        """Returns this node's registration."""
         settings = self.settings
-        entry = NodeEntry(
+        return NodeEntry(
             node=settings.name,
             incarnation=self.incarnation,
             address=settings.addresses.callers,
@@ -372,8 +382,11 @@
             region=settings.region,
             serving=self.is_ready(),
         )
+
+    def node_report(self) -> NodeReport:
+        """Returns this node's report for the other nodes."""
         return NodeReport(
-            entry,
+            self.node_entry(),
             self.rollouts.own_evidence(),
             self.running_by_version(),
             self.rollouts.own_ages(),
--- a/packages/amaranthlug/src/amaranthlug/state/routing/session_claims.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/session_claims.py
@@ -59,28 +59,35 @@
 
     def find(self, claim: SessionClaim) -> bool | None:
         """Returns whether a session uses the new version, None if unknown."""
+        entry = self.live_entry(claim)
+        return None if entry is None else entry.on_target
+
+    def live_entry(self, claim: SessionClaim) -> RegisteredVersion | None:
+        """Returns the entry of a session unless it has expired."""
         entry = self.entries.get((claim.rollout, claim.session))
-        if entry is None or self.clock() - entry.used_at > CLAIM_TTL_S:
-            return None
-        return entry.on_target
+        return entry if entry is not None and self.is_live(entry) else None
+
+    def is_live(self, entry: RegisteredVersion) -> bool:
+        """Returns whether an entry has not expired."""
+        return self.clock() - entry.used_at <= CLAIM_TTL_S
 
     def claims(self) -> list[SessionClaim]:
         """Returns the known versions."""
-        since = self.clock() - CLAIM_TTL_S
         return [
             SessionClaim(rollout, session, entry.on_target)
             for (rollout, session), entry in self.entries.items()
-            if entry.used_at >= since
+            if self.is_live(entry)
         ]
 
     def settle(self, claim: SessionClaim) -> bool:
         """Returns the known version, or stores and returns the proposed one."""
-        known = self.find(claim)
         key = (claim.rollout, claim.session)
-        if known is None:
-            self.entries[key] = RegisteredVersion(claim.on_target, 0.0)
-        entry = self.entries[key]
-        entry.used_at = self.clock()
+        now = self.clock()
+        entry = self.live_entry(claim)
+        if entry is None:
+            entry = RegisteredVersion(claim.on_target, now)
+            self.entries[key] = entry
+        entry.used_at = now
         self.entries.move_to_end(key)
         if len(self.entries) > MAX_CLAIMS:
             self.entries.popitem(last=False)
@@ -88,12 +95,8 @@
 
     def needs_copy(self, claim: SessionClaim) -> bool:
         """Returns whether the copy is missing or about to expire."""
-        entry = self.entries.get((claim.rollout, claim.session))
-        return (
-            self.find(claim) is None
-            or entry is None
-            or self.clock() - entry.copied_at > COPY_REFRESH_S
-        )
+        entry = self.live_entry(claim)
+        return entry is None or self.clock() - entry.copied_at > COPY_REFRESH_S
 
     def mark_copied(self, claim: SessionClaim) -> None:
         """Records that another node has a copy."""
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -36,7 +36,6 @@
 MAX_IDLE_CONNECTIONS = 2
 """Most idle connections kept to a node: one for exchanges with a relay, which
 it holds open for a while, and one for claims."""
-
 MAX_IDLE_NODES = 64
 """Most nodes to which idle connections are kept; those of the least recently
 used one are closed first, also if that node is gone."""
--- a/test/test_session_owners.py
+++ b/test/test_session_owners.py
@@ -1,6 +1,7 @@
 """Tests of the owners of sessions; no network."""
 
 import pytest
+from _fakes_log import FakeMetrics
 from _routing import FakeClock, make_node_entry
 
 from amaranthlug.coordination.routing.session_owners import (
@@ -20,18 +21,6 @@
 )
 
 
-class CountingMetrics:
-    """Counts by name."""
-
-    def __init__(self):
-        """Starts at zero."""
-        self.counts = {}
-
-    def incr(self, name, count=1):
-        """Adds to a counter."""
-        self.counts[name] = self.counts.get(name, 0) + count
-
-
 class OwnerFleet:
     """Nodes that send each other claims in this process."""
 
@@ -47,7 +36,7 @@
     def add(self, name):
         """Starts a node with an empty register."""
         self.parts[name] = SessionOwners(
-            name, self.entries, self, CountingMetrics(), self.clock
+            name, self.entries, self, FakeMetrics(), self.clock
         )
 
     def entries(self):
