--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -81,6 +81,7 @@
         self.disruption = disruption
         self.servers = [ServerRecord("v1")]
         self.new_servers = [ServerRecord("v2")]
+        self.all_servers = [*self.servers, *self.new_servers]
 
     def was_undisrupted(self, since, until):
         """Tells whether the disruption lies outside the span."""
