--- a/test/test_routing_rollouts.py
+++ b/test/test_routing_rollouts.py
@@ -173,17 +173,32 @@
     return sessions.choose(split, "pool", session, "r").servers
 
 
+def make_two_nodes(harness):
+    """Returns the tables of two nodes that settle with the same owners."""
+    register = SessionRegister(harness.clock)
+    return make_sessions(harness, register), make_sessions(harness, register)
+
+
+def record_sessions(sessions, count=200):
+    """Records that the sessions `session-0` and so on ran on v1."""
+    for number in range(count):
+        sessions.record_version("pool", f"session-{number}", "v1")
+
+
+def all_stay(sessions, split, count=200):
+    """Returns whether the same sessions may only use the old servers."""
+    return all(
+        choose_servers(sessions, split, f"session-{number}") == [OLD]
+        for number in range(count)
+    )
+
+
 def test_session_stays_on_its_version_in_the_first_half(harness):
     """A session that started on the old version is not moved."""
     sessions = make_sessions(harness)
     harness.clock.advance(NEW_VERSION_DELAY_S)
-    for number in range(300):
-        sessions.record_version("pool", f"session-{number}", "v1")
-    split = harness.split()
-    assert all(
-        choose_servers(sessions, split, f"session-{number}") == [OLD]
-        for number in range(300)
-    )
+    record_sessions(sessions, 300)
+    assert all_stay(sessions, harness.split(), 300)
 
 
 def test_session_on_the_new_version_stays_there(harness):
@@ -225,30 +240,23 @@
 
 def test_session_without_new_servers_in_sight_stays_on_the_old_version(harness):
     """It ran on the old version, though its node had no server of the new."""
-    register = SessionRegister(harness.clock)
-    before, after = (make_sessions(harness, register) for _ in range(2))
+    before, after = make_two_nodes(harness)
     harness.clock.advance(NEW_VERSION_DELAY_S)
     without_new = harness.tracker.split("pool", [OLD])
-    for number in range(200):
-        session = f"session-{number}"
-        assert choose_servers(before, without_new, session) == [OLD]
-        assert choose_servers(after, harness.split(), session) == [OLD]
+    assert all_stay(before, without_new)
+    assert all_stay(after, harness.split())
 
 
 def test_sessions_of_other_nodes_are_announced(harness):
     """A session that ran before the order is known to its owner."""
-    register = SessionRegister(harness.clock)
-    before, after = (make_sessions(harness, register) for _ in range(2))
+    before, after = make_two_nodes(harness)
+    record_sessions(before)
     for number in range(200):
-        before.record_version("pool", f"session-{number}", "v1")
         before.record_version("other", f"foreign-{number}", "v1")
     before.announce("pool", harness.split())
     harness.clock.advance(NEW_VERSION_DELAY_S)
     split = harness.split()
-    assert all(
-        choose_servers(after, split, f"session-{number}") == [OLD]
-        for number in range(200)
-    )
+    assert all_stay(after, split)
     assert any(
         choose_servers(after, split, f"foreign-{number}") == [NEW]
         for number in range(200)
@@ -257,19 +265,13 @@
 
 def test_session_of_a_long_request_is_announced(harness):
     """A long stream is still in use after the idle time of its session."""
-    register = SessionRegister(harness.clock)
-    before, after = (make_sessions(harness, register) for _ in range(2))
-    for number in range(200):
-        before.record_version("pool", f"session-{number}", "v1")
+    before, after = make_two_nodes(harness)
+    record_sessions(before)
     harness.clock.advance(LONGEST_REQUEST_S)
     harness.tracker.rollouts.clear()
     before.announce("pool", harness.split())
     harness.clock.advance(NEW_VERSION_DELAY_S)
-    split = harness.split()
-    assert all(
-        choose_servers(after, split, f"session-{number}") == [OLD]
-        for number in range(200)
-    )
+    assert all_stay(after, harness.split())
 
 
 def test_only_sessions_that_may_move_are_announced(harness):
@@ -282,8 +284,7 @@
             return super().settle(claim)
 
     sessions = make_sessions(harness, CountingRegister(harness.clock))
-    for number in range(1_000):
-        sessions.record_version("pool", f"session-{number}", "v1")
+    record_sessions(sessions, 1_000)
     sessions.announce("pool", harness.split())
     assert 0 < len(claims) < 2 * CANARY_SHARE * 1_000
     announced = len(claims)
