Log the requests under which servers ended

After a broken attempt the node opens a new connection, and if it is refused writes server_ended with the digest of the request.

No choice changes; each broken attempt costs one more connection.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -1,6 +1,7 @@
 """Retry and failure rules shared by plain and streamed exchanges."""
 
 import dataclasses
+import functools
 import random
 from collections.abc import Callable
 from typing import Any
@@ -9,6 +10,10 @@
 
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.protocol.retry_budget import RetryBudget
+from amaranthlug.protocol.routing.crash_watch import (
+    CrashWatch,
+    request_digest,
+)
 from amaranthlug.protocol.routing.engine_queues import EngineQueues
 from amaranthlug.protocol.routing.messages import (
     AnswerWriter,
@@ -63,6 +68,7 @@
         budget: Limits the retries of this node.
         models: Chooses the model and decides on escalation.
         queues: Expected queueing delays at engines.
+        crashes: Finds requests under which servers ended.
         metrics: Counters and durations.
         clock: Returns seconds, including time in which the VM was paused.
         record_outcome: Receives service, version, route and whether the answer
@@ -78,6 +84,7 @@
     budget: RetryBudget
     models: ModelChoice
     queues: EngineQueues
+    crashes: CrashWatch
     metrics: Metrics
     clock: Callable[[], float]
     record_outcome: Callable[[str, str, str, bool], None]
@@ -157,11 +164,20 @@
                 result = self.attempt(server)
             except UpstreamCallError as failure:
                 self.may_have_run = self.may_have_run or failure.may_have_run
+                if failure.kind is FailureKind.BROKEN:
+                    self.tools.crashes.check_later(
+                        server, self.digest, self.request.request_id
+                    )
                 continue
             if result is not None:
                 return result
         return self.finish_unanswered()
 
+    @functools.cached_property
+    def digest(self) -> str:
+        """Returns what the request has in common with its repetitions."""
+        return request_digest(self.context.organisation, self.request)
+
     def choose(self) -> ServerEntry | None:
         """Returns a server for the next attempt, None if there is none."""
         raise NotImplementedError
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -198,6 +198,10 @@
         """Returns whether a server's VM accepts a new connection."""
         ...
 
+    def has_ended(self, server: ServerEntry) -> bool:
+        """Returns whether a server's VM answers that its process is gone."""
+        ...
+
 
 class SentCall(Protocol):
     """A request that was sent and may have reached the server."""
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -42,6 +42,7 @@
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.protocol.retry_budget import RetryBudget
+from amaranthlug.protocol.routing.crash_watch import CrashWatch
 from amaranthlug.protocol.routing.engine_queues import EngineQueues
 from amaranthlug.protocol.routing.exchange import ExchangeTools
 from amaranthlug.protocol.routing.model_choice import ModelChoice
@@ -250,6 +251,7 @@
             budget=self.budget,
             models=ModelChoice(),
             queues=self.queues,
+            crashes=CrashWatch(self.upstreams, self.metrics),
             metrics=self.metrics,
             clock=boot_seconds,
             record_outcome=self.rollouts.count_answer,
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import logging
 from collections.abc import Callable
 from typing import Protocol
 
@@ -39,6 +40,8 @@
 MAX_SKIPPED_RESPONSES = 3
 """Responses to other requests that one request skips on its connection."""
 
+log = logging.getLogger(__name__)
+
 
 class HeaderCodec(Protocol):
     """Converts between typed calls and HTTP headers."""
@@ -74,6 +77,7 @@
         self.clock = clock
         self.idle: dict[tuple[str, int], collections.deque[IdleConnection]] = {}
         self.probes: dict[tuple[str, int], tuple[float, bool]] = {}
+        self.ended: set[tuple[str, int]] = set()
 
     def send(self, call: UpstreamCall) -> "SentRequest":
         """Sends a request on an idle or a new connection.
@@ -126,6 +130,28 @@
         self.probes[server.instance_key] = (self.clock(), accepted)
         return accepted
 
+    def has_ended(self, server: ServerEntry) -> bool:
+        """Returns whether a server's VM answers that its process is gone.
+
+        Unlike `is_reachable` it needs an answer that is newer than the failure
+        in question, and a VM without an answer says nothing of the process.
+        """
+        if server.instance_key in self.ended:
+            return True
+        try:
+            HttpConnection.open(server.address, CONNECT_TIMEOUT_S).close()
+        except ConnectionRefusedError:
+            self.ended.add(server.instance_key)
+            return True
+        except OSError as error:
+            log.info(
+                "cannot tell whether server %s has ended: %s",
+                server.server_id,
+                error,
+                extra={"event": "server_unknown", "server": server.server_id},
+            )
+        return False
+
     def connect(self, call: UpstreamCall) -> HttpConnection:
         """Opens a connection to the server of a call.
 
@@ -193,6 +219,7 @@
             if instance_key not in listed
         ]:
             del self.probes[instance_key]
+        self.ended &= listed
 
 
 class SentRequest:
