--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -2,7 +2,7 @@
 
 import gevent
 import pytest
-from _platform_fleet import PlatformFleet, wait_for
+from _platform_fleet import PlatformFleet, stream_headers, wait_for
 from _routing import make_request, make_server
 
 from amaranthlug.protocol.routing.crash_watch import request_digest
@@ -13,6 +13,9 @@
 
 NODES = 4
 SERVERS = 4
+REPETITIONS = 8
+ALLOWED_CRASHES = 3
+"""Servers that may end under a request before no other one gets it."""
 
 
 class CrashFleet:
@@ -70,6 +73,28 @@
     ]
 
 
+# Guards against issue 24: a request that crashes its servers came again as a
+# new request at any node and was sent to servers each time.
+@pytest.mark.parametrize(
+    ("target", "method", "headers"),
+    [
+        ("/safe/bad", "GET", ()),
+        ("/once/bad", "POST", ()),
+        ("/stream/bad", "POST", stream_headers()),
+    ],
+)
+def test_crashing_request_reaches_no_server_after_the_third(
+    crash, target, method, headers
+):
+    """The third server that ends under it is the last one of the fleet."""
+    for server in crash.fleet.servers:
+        server.faults.crash_on = target
+    for number in range(REPETITIONS):
+        crash.wait_until_served()
+        crash.send(target, number % NODES, method=method, headers=headers)
+    assert crash.crashes(target) == ALLOWED_CRASHES
+
+
 def test_line_names_a_request_under_which_a_server_ended(crash, caplog):
     """Requests that are the same have the same digest on all nodes."""
     caplog.set_level("INFO")
