Keep requests that crash their servers from further servers

Cause: a routed request was only limited within its client attempt (max_attempts); nothing was remembered of it afterwards, neither at the node nor in the fleet. The register of such requests existed for the chat border only.

Now a server that refuses a new connection after it broke an answer makes its requests suspects, by a digest of caller, method, host, path and body. Nodes share suspects by notices (to the relays, which pass them to their members) and by their reports, which also bring them to nodes that start later; a node reads the reports before it replaces its own. After three servers without a completion in between no further one gets the request; its callers get 503 at once with the time to the end of the block. Bystanders are cleared when a server completes them. The table is shared with the register of the chat border.

--- a/packages/amaranthlug-ui/src/amaranthlug_ui/explain.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/explain.py
@@ -23,6 +23,8 @@
     " complete answer",
     "timeout": "no server answered before the route's time-out or the caller's"
     " deadline",
+    "poisoned_request": "servers ended under this request one after the other;"
+    " see `server_ended` and `request_blocked`",
     "stream_cut": "the stream broke and could not be resumed at another server",
     "caller_left": "the caller closed its connection first",
     "server_error": "the server itself answered with an error status",
@@ -57,13 +59,23 @@
     """Returns the lines of a request and its nodes' related events, by time.
 
     Related are events during the request, or up to `CONTEXT_S` before it, that
-    concern one of its servers or the state of the whole node.
+    concern one of its servers or the state of the whole node, and those about
+    requests with the same digest, at any node and time.
     """
     request_lines = [
         line for line in lines if line.get("request_id") == request_id
     ]
-    related = list(request_lines)
+    digests = {line["digest"] for line in request_lines if "digest" in line}
+    related = request_lines + [
+        line
+        for line in lines
+        if line.get("event") in SUSPECT_EVENTS
+        and line.get("digest") in digests
+        and line.get("request_id") != request_id
+    ]
     for request in request_lines:
+        if request.get("event") != "request":
+            continue
         servers = {a.get("server") for a in request.get("attempts", [])}
         until = request["time"]
         since = until - request.get("took_ms", 0) / 1_000 - CONTEXT_S
@@ -103,6 +115,12 @@
 """Events that concern the state of a node rather than one server."""
 
 
+SUSPECT_EVENTS = frozenset(
+    {"server_ended", "request_blocked", "request_allowed"}
+)
+"""Events about requests under which servers ended."""
+
+
 def print_request(line: dict[str, Any]) -> None:
     """Prints a request with a table of its attempts."""
     click.echo(
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -27,6 +27,7 @@
     sum_evidence,
     sum_running,
 )
+from amaranthlug.state.suspects import SuspectFact, merge_facts
 
 NODES_TOPIC = "keyed.nodes"
 """Topic of the fleet reports."""
@@ -60,12 +61,14 @@
         evidence: Answer counts of all nodes but the receiving one.
         running: Requests in flight at all nodes but the receiving one.
         rollout_ages: Ages of active roll-outs when the relay answered.
+        suspects: Requests under which servers ended, from all nodes.
     """
 
     nodes: list[NodeEntry]
     evidence: EvidenceByRollout
     running: RunningByService
     rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
+    suspects: list[SuspectFact] = dataclasses.field(default_factory=list)
 
 
 class FleetView:
@@ -86,6 +89,9 @@
     ):
         """Creates a view.
 
+        `FleetSuspects` sets `receive_suspects`, which is called with the
+        suspects of each report; without it they are ignored.
+
         Args:
             store: Holds the fleet reports.
             describe_node: Returns this node's own report.
@@ -105,6 +111,9 @@
         )
         self.summary: FleetSummary | None = None
         self.summary_received_at = -math.inf
+        self.receive_suspects: Callable[[list[SuspectFact]], object] | None = (
+            None
+        )
 
     def replace(self, records: list[KeyedRecord]) -> None:
         """Replaces all known reports."""
@@ -127,15 +136,20 @@
             )
             return False
         self.reports[record.key] = ReceivedReport(report, self.clock())
+        self.pass_suspects(report.suspects)
         return True
 
     def sync(self) -> None:
         """Publishes this node's fleet report and reads those of the others.
 
-        Does nothing while the circuit breaker is open.
+        Does nothing while the circuit breaker is open. Before the first report
+        it reads, so that the report of a node that starts again does not
+        replace what only the one before knew.
         """
         if not self.follower.breaker.is_closed():
             return
+        if self.follower.position is None:
+            self.follower.read_once()
         self.publish()
         self.follower.read_once()
 
@@ -183,11 +197,18 @@
     def update_member(self, report: NodeReport) -> None:
         """Stores the report of a member."""
         self.members[report.entry.node] = (report, self.clock())
+        self.pass_suspects(report.suspects)
 
     def set_summary(self, summary: FleetSummary) -> None:
         """Stores the summary sent by this node's relay."""
         self.summary = summary
         self.summary_received_at = self.clock()
+        self.pass_suspects(summary.suspects)
+
+    def pass_suspects(self, suspects: list[SuspectFact]) -> None:
+        """Passes on the suspects of a report that arrived."""
+        if self.receive_suspects is not None:
+            self.receive_suspects(suspects)
 
     def clear_summary(self) -> None:
         """Drops the relay's summary, so that reports from the store count."""
@@ -204,6 +225,9 @@
             sum_evidence([others.evidence, *(r.evidence for r in received)]),
             sum_running([others.running, *(r.running for r in received)]),
             highest_ages([others.rollout_ages, self.reported_ages()]),
+            merge_facts(
+                [others.suspects, *(report.suspects for report in received)]
+            ),
         )
 
     def removable_report_keys(self, own_name: str) -> list[str]:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/crash_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/crash_watch.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from amaranthlug.coordination.platform import Metrics
+from amaranthlug.coordination.routing.fleet_suspects import FleetSuspects
 from amaranthlug.protocol.routing.messages import RoutedRequest, ServerPort
 from amaranthlug.state.routing.servers import ServerEntry
 
@@ -31,18 +32,42 @@
 
 
 class CrashWatch:
-    """Checks after a broken attempt whether its server has ended."""
+    """Finds the requests that crash servers and keeps servers from them.
 
-    def __init__(self, port: ServerPort, metrics: Metrics):
+    All requests at a server that ends become suspects. Those that did not cause
+    it are cleared when a server completes them.
+    """
+
+    def __init__(
+        self, port: ServerPort, suspects: FleetSuspects, metrics: Metrics
+    ):
         """Creates a watch.
 
         Args:
             port: Tells whether a server has ended.
+            suspects: Shares the suspects with the other nodes.
             metrics: Counts the servers that ended, once for each request.
         """
         self.port = port
+        self.suspects = suspects
         self.metrics = metrics
 
+    def has_suspects(self) -> bool:
+        """Returns whether the digest of a request matters at present."""
+        return len(self.suspects.table) > 0
+
+    def is_blocked(self, digest: str) -> bool:
+        """Returns whether a request must reach no further server."""
+        return self.suspects.is_blocked(digest)
+
+    def block_remaining_s(self, digest: str) -> float:
+        """Returns the time until a blocked request is allowed, in seconds."""
+        return self.suspects.block_remaining_s(digest)
+
+    def record_completed(self, digest: str) -> None:
+        """Clears a request that a server has completed."""
+        self.suspects.record_completed(digest)
+
     def check_later(
         self, server: ServerEntry, digest: str, request_id: str
     ) -> None:
@@ -64,3 +89,4 @@
                 "digest": digest,
             },
         )
+        self.suspects.record_end(digest, server.instance_name)
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -31,6 +31,7 @@
 from amaranthlug.protocol.routing.placement import Placement
 from amaranthlug.protocol.routing.request_log import RequestTrace
 from amaranthlug.protocol.routing.server_health import ServerHealthTracker
+from amaranthlug.state.refusal import RefusalCode
 from amaranthlug.state.routing.config import Route
 from amaranthlug.state.routing.servers import ServerEntry
 
@@ -53,6 +54,9 @@
 RETRY_AFTER_S = (0.2, 0.7)
 """Range of the random retry delay sent to refused callers, in seconds."""
 
+BLOCKED_REASON = RefusalCode.POISONED_REQUEST.value
+"""Outcome of a request that is blocked since servers ended under it."""
+
 ExchangeResult = tuple[str, int] | LocalReply
 """Outcome and status of a delivered answer, or the node's own reply."""
 
@@ -148,7 +152,7 @@
         Returns:
             Outcome and status, or the reply of the node itself.
         """
-        while self.may_attempt():
+        while not self.is_blocked() and self.may_attempt():
             server = self.choose()
             if server is None:
                 if self.attempts_sent == 0 and self.wait_for_server():
@@ -170,13 +174,31 @@
                     )
                 continue
             if result is not None:
+                self.record_if_completed(result)
                 return result
         return self.finish_unanswered()
 
     @functools.cached_property
     def digest(self) -> str:
         """Returns what the request has in common with its repetitions."""
-        return request_digest(self.context.organisation, self.request)
+        digest = request_digest(self.context.organisation, self.request)
+        self.context.trace.digest = digest
+        return digest
+
+    def is_blocked(self) -> bool:
+        """Returns whether servers ended under the request too often."""
+        crashes = self.tools.crashes
+        return crashes.has_suspects() and crashes.is_blocked(self.digest)
+
+    def record_if_completed(self, result: ExchangeResult) -> None:
+        """Clears a request that a server has completed successfully."""
+        crashes = self.tools.crashes
+        if (
+            crashes.has_suspects()
+            and not isinstance(result, LocalReply)
+            and result[1] < 300
+        ):
+            crashes.record_completed(self.digest)
 
     def choose(self) -> ServerEntry | None:
         """Returns a server for the next attempt, None if there is none."""
@@ -298,13 +320,24 @@
 
     def no_answer_reply(self, reason: str) -> LocalReply:
         """Returns the reply to a request that no server answered."""
+        is_blocked = self.is_blocked()
+        if not self.may_have_run and is_blocked:
+            return LocalReply(
+                503,
+                BLOCKED_REASON,
+                "servers ended under this request; change it, or send it again "
+                "after the given time",
+                self.tools.crashes.block_remaining_s(self.digest),
+            )
         if not self.may_have_run:
             wait = self.tools.random.uniform(*RETRY_AFTER_S)
             return LocalReply(503, reason, "no server took the request", wait)
         if self.remaining_s() <= 0:
             return LocalReply(504, "timeout", "no server answered in time")
         return LocalReply(
-            502, "upstream_failed", "no server sent a complete answer"
+            502,
+            BLOCKED_REASON if is_blocked else "upstream_failed",
+            "no server sent a complete answer",
         )
 
     def wait_for_server(self) -> bool:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/request_log.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/request_log.py
@@ -29,6 +29,7 @@
         first_event_ms: Time to the first event or answer, in milliseconds.
         waited_ms: Time spent waiting for a server, in milliseconds.
         version_choice: Choice of the version for the first attempt.
+        digest: Digest of the request, None if it was not needed.
     """
 
     request: RoutedRequest
@@ -40,6 +41,7 @@
     first_event_ms: float | None = None
     waited_ms: float = 0.0
     version_choice: VersionChoice | None = None
+    digest: str | None = None
 
     def fields(self, outcome: str, status: int, now: float) -> dict[str, Any]:
         """Returns the fields of the log line; `now` is in seconds."""
@@ -61,4 +63,5 @@
             "attempts": self.attempts,
             "session": self.request.session,
             **(self.version_choice.fields() if self.version_choice else {}),
+            **({"digest": self.digest} if self.digest else {}),
         }
--- a/packages/amaranthlug/src/amaranthlug/protocol/suspects.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/suspects.py
@@ -18,19 +18,14 @@
 from amaranthlug.protocol.interfaces import ChatRequest
 from amaranthlug.protocol.poison import poison_digest
 from amaranthlug.state.refusal import Refusal
+from amaranthlug.state.suspects import SuspectFact, SuspectTable
 
 TOPIC = "poison"
 """Topic of rumours about requests; the topic `suspect` is about members."""
 
-SUSPICION_LIFETIME_S = 600.0
-"""Time from the first crash to the end of a suspicion, in seconds."""
-
 CRASHES_TO_BLOCK = 2
 """Number of uncleared crashes from which a request is refused."""
 
-MAX_SUSPECTS = 10_000
-"""Maximum number of digests; the oldest ones are dropped."""
-
 MAX_RESERVATION_S = 60.0
 """Time until a reservation expires, in seconds. It matters only if the node
 that reserved the server is gone."""
@@ -39,19 +34,6 @@
 """Maximum number of reservations; the oldest ones are dropped."""
 
 
-@dataclasses.dataclass
-class Suspect:
-    """Crashes during a request, and those that it was cleared of."""
-
-    suspected_at_s: float
-    crashes: set[str] = dataclasses.field(default_factory=set)
-    cleared: set[str] = dataclasses.field(default_factory=set)
-
-    def uncleared_crashes(self) -> int:
-        """Returns the number of crashes the request was not cleared of."""
-        return len(self.crashes - self.cleared)
-
-
 @dataclasses.dataclass(frozen=True)
 class Reservation:
     """A server that only one suspected request may use.
@@ -90,7 +72,7 @@
         self.metrics = metrics
         self.now = now
         self.incarnation = incarnation
-        self.suspects: OrderedDict[str, Suspect] = OrderedDict()
+        self.suspects = SuspectTable(now, CRASHES_TO_BLOCK)
         self.reservations: OrderedDict[str, Reservation] = OrderedDict()
         self.ended_reservations: OrderedDict[str, None] = OrderedDict()
         self.last_number = 0
@@ -115,7 +97,7 @@
         self.finished(digest)
         if self.confirm is not None:
             self.confirm(address, crash)
-        suspect = self.suspects.get(digest)
+        suspect = self.suspects.find(digest)
         return suspect is None or crash not in suspect.cleared
 
     def finished(self, digest: str) -> None:
@@ -131,14 +113,13 @@
         digest = poison_digest(request)
         if self.suspected(digest):
             self.metrics.incr("poison.cleared")
-            crashes = sorted(self.suspects[digest].crashes)
+            crashes = sorted(self.suspects.suspects[digest].crashes)
             self._spread({"digest": digest, "cleared": crashes})
 
     def clear_crash(self, crash: str) -> None:
         """Clears all requests of a crash that did not happen."""
-        for digest, suspect in list(self.suspects.items()):
-            if crash in suspect.crashes - suspect.cleared:
-                self._spread({"digest": digest, "cleared": [crash]})
+        for digest in self.suspects.digests_of(crash):
+            self._spread({"digest": digest, "cleared": [crash]})
 
     def reserve(self, address: str, digest: str) -> None:
         """Reserves a server for one request on all nodes."""
@@ -195,34 +176,16 @@
             self.ended_reservations.popitem(last=False)
 
     def _merge_suspect(self, fact: dict[str, Any]) -> bool:
-        now, digest = self.now(), fact["digest"]
-        suspect = self.suspects.get(digest)
-        if (
-            suspect is None
-            or now - suspect.suspected_at_s > SUSPICION_LIFETIME_S
-        ):
-            suspect = self.suspects[digest] = Suspect(now)
-            if len(self.suspects) > MAX_SUSPECTS:
-                self.suspects.popitem(last=False)
-        before = (len(suspect.crashes), len(suspect.cleared))
-        if "crash" in fact:
-            suspect.crashes.add(fact["crash"])
-        suspect.cleared.update(fact.get("cleared", ()))
-        return before != (len(suspect.crashes), len(suspect.cleared))
-
-    def _uncleared_crashes(self, digest: str) -> int:
-        suspect = self.suspects.get(digest)
-        if (
-            suspect is None
-            or self.now() - suspect.suspected_at_s > SUSPICION_LIFETIME_S
-        ):
-            return 0
-        return suspect.uncleared_crashes()
+        crashes = [fact["crash"]] if "crash" in fact else []
+        cleared = list(fact.get("cleared", ()))
+        return self.suspects.merge(
+            SuspectFact(fact["digest"], crashes, cleared)
+        )
 
     def suspected(self, digest: str) -> bool:
         """Returns whether a request may run only on a reserved server."""
-        return self._uncleared_crashes(digest) > 0
+        return self.suspects.is_suspected(digest)
 
     def blocked(self, digest: str) -> bool:
         """Returns whether a request must be refused."""
-        return self._uncleared_crashes(digest) >= CRASHES_TO_BLOCK
+        return self.suspects.is_blocked(digest)
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -18,6 +18,10 @@
     OperatorDecoder,
 )
 from amaranthlug.coordination.routing.entry_choice import choose_entries
+from amaranthlug.coordination.routing.fleet_suspects import (
+    FleetSuspects,
+    NoticePort,
+)
 from amaranthlug.coordination.routing.fleet_view import FleetView
 from amaranthlug.coordination.routing.keyed_store import KeyedStore
 from amaranthlug.coordination.routing.relay import Relay
@@ -134,7 +138,7 @@
     """Encodes and decodes all records of the store."""
 
 
-class NodePort(PeerPort, ClaimPort, Protocol):
+class NodePort(PeerPort, ClaimPort, NoticePort, Protocol):
     """Sends all messages to other nodes."""
 
 
@@ -194,6 +198,9 @@
             breaker,
             describe_entry=self.node_entry,
         )
+        self.suspects = FleetSuspects(
+            settings.name, self.fleet, peers, self.metrics
+        )
         self.rollouts = RolloutTracker(
             codec,
             lambda: self.config.orders,
@@ -251,7 +258,7 @@
             budget=self.budget,
             models=ModelChoice(),
             queues=self.queues,
-            crashes=CrashWatch(self.upstreams, self.metrics),
+            crashes=CrashWatch(self.upstreams, self.suspects, self.metrics),
             metrics=self.metrics,
             clock=boot_seconds,
             record_outcome=self.rollouts.count_answer,
@@ -331,12 +338,13 @@
                 self.session_owners.hand_over()
 
     def prune_departed_servers(self) -> None:
-        """Drops health, queues and connections of servers that are gone."""
+        """Drops what is kept of servers that are gone, and old suspects."""
         listed = [known.entry for known in self.servers.known.values()]
         self.health.keep_only(listed)
         instance_keys = {entry.instance_key for entry in listed}
         self.queues.keep_only(instance_keys)
         self.upstreams.prune(instance_keys)
+        self.suspects.table.drop_expired()
 
     def update_retry_budget(self) -> None:
         """Sets this node's part of the fleet's retry budget."""
@@ -392,6 +400,7 @@
             self.rollouts.own_evidence(),
             self.running_by_version(),
             self.rollouts.own_ages(),
+            self.suspects.reported_facts(),
         )
 
     def running_by_version(self) -> RunningByService:
--- a/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from amaranthlug.state.routing.rollout import RolloutEvidence, pooled
+from amaranthlug.state.suspects import SuspectFact, merge_facts
 
 EvidenceByRollout = dict[str, RolloutEvidence]
 """Roll-out -> answer counts by version and route."""
@@ -43,6 +44,7 @@
     evidence: EvidenceByRollout
     running: RunningByService
     rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
+    suspects: list[SuspectFact] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,6 +57,7 @@
         evidence: Sum of the answer counts of these nodes.
         running: Sum of the requests in flight of these nodes.
         rollout_ages: Ages of active roll-outs that these nodes know.
+        suspects: Requests under which servers ended.
     """
 
     reporter: str
@@ -62,6 +65,7 @@
     evidence: EvidenceByRollout
     running: RunningByService
     rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
+    suspects: list[SuspectFact] = dataclasses.field(default_factory=list)
 
 
 def sum_evidence(parts: list[EvidenceByRollout]) -> EvidenceByRollout:
@@ -104,4 +108,5 @@
         sum_evidence([report.evidence for report in reports]),
         sum_running([report.running for report in reports]),
         highest_ages([report.rollout_ages for report in reports]),
+        merge_facts(report.suspects for report in reports),
     )
--- a/packages/amaranthlug/src/amaranthlug/state/routing/servers.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/servers.py
@@ -44,3 +44,8 @@
     def instance_key(self) -> tuple[str, int]:
         """Returns identity and start time, which identify the instance."""
         return self.server_id, self.started_ms
+
+    @property
+    def instance_name(self) -> str:
+        """Returns the instance key as one text."""
+        return f"{self.server_id}@{self.started_ms}"
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/state/suspects.py
@@ -0,0 +1,172 @@
+"""Requests under which servers ended, as known to one node."""
+
+import dataclasses
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+SUSPICION_LIFETIME_S = 600.0
+"""Time from the first crash to the end of a suspicion, in seconds."""
+
+MAX_SUSPECTS = 10_000
+"""Maximum number of digests; the oldest ones are dropped."""
+
+
+@dataclasses.dataclass(frozen=True)
+class SuspectFact:
+    """What nodes tell each other of a suspect.
+
+    Attributes:
+        digest: Digest of the request.
+        crashes: Names of the crashes during the request.
+        cleared: Those of them that the request was cleared of.
+        age_s: Time since the first crash, in seconds.
+    """
+
+    digest: str
+    crashes: list[str]
+    cleared: list[str]
+    age_s: float = 0.0
+
+
+@dataclasses.dataclass
+class Suspect:
+    """Crashes during a request, and those that it was cleared of.
+
+    Attributes:
+        suspected_at_s: Clock at the first crash, in seconds.
+        changed_at_s: Clock when this node learned the last of it, in seconds.
+    """
+
+    suspected_at_s: float
+    changed_at_s: float
+    crashes: set[str] = dataclasses.field(default_factory=set)
+    cleared: set[str] = dataclasses.field(default_factory=set)
+
+    def uncleared_crashes(self) -> int:
+        """Returns the number of crashes the request was not cleared of."""
+        return len(self.crashes - self.cleared)
+
+
+class SuspectTable:
+    """Suspects by digest.
+
+    Facts are only ever added, so they may arrive in any order and repeatedly.
+    """
+
+    def __init__(self, now: Callable[[], float], crashes_to_block: int):
+        """Creates an empty table.
+
+        Args:
+            now: Returns seconds.
+            crashes_to_block: Uncleared crashes from which a request is blocked.
+        """
+        self.now = now
+        self.crashes_to_block = crashes_to_block
+        self.suspects: OrderedDict[str, Suspect] = OrderedDict()
+
+    def __len__(self) -> int:
+        """Returns the number of suspects that were not dropped."""
+        return len(self.suspects)
+
+    def merge(self, fact: SuspectFact) -> bool:
+        """Adds a fact; returns whether it was new."""
+        if fact.age_s > SUSPICION_LIFETIME_S:
+            return False
+        now = self.now()
+        since = now - fact.age_s
+        suspect = self.find(fact.digest)
+        if suspect is None:
+            suspect = self.suspects[fact.digest] = Suspect(since, now)
+            self.suspects.move_to_end(fact.digest)
+            if len(self.suspects) > MAX_SUSPECTS:
+                self.suspects.popitem(last=False)
+        before = (len(suspect.crashes), len(suspect.cleared))
+        suspect.suspected_at_s = min(suspect.suspected_at_s, since)
+        suspect.crashes.update(fact.crashes)
+        suspect.cleared.update(fact.cleared)
+        is_new = before != (len(suspect.crashes), len(suspect.cleared))
+        if is_new:
+            suspect.changed_at_s = now
+        return is_new
+
+    def drop_expired(self) -> None:
+        """Forgets the suspects whose suspicion has expired."""
+        for digest, suspect in list(self.suspects.items()):
+            if self.remaining_s(suspect) < 0:
+                del self.suspects[digest]
+
+    def find(self, digest: str) -> Suspect | None:
+        """Returns a suspect whose suspicion has not expired."""
+        suspect = self.suspects.get(digest)
+        if suspect is None or self.remaining_s(suspect) < 0:
+            return None
+        return suspect
+
+    def remaining_s(self, suspect: Suspect) -> float:
+        """Returns the time to the end of a suspicion, in seconds."""
+        return suspect.suspected_at_s + SUSPICION_LIFETIME_S - self.now()
+
+    def uncleared_crashes(self, digest: str) -> int:
+        """Returns the number of crashes a request was not cleared of."""
+        suspect = self.find(digest)
+        return suspect.uncleared_crashes() if suspect else 0
+
+    def is_suspected(self, digest: str) -> bool:
+        """Returns whether a request may have crashed a server."""
+        return self.uncleared_crashes(digest) > 0
+
+    def is_blocked(self, digest: str) -> bool:
+        """Returns whether a request must reach no further server."""
+        return self.uncleared_crashes(digest) >= self.crashes_to_block
+
+    def digests_of(self, crash: str) -> list[str]:
+        """Returns the digests that were not cleared of a crash."""
+        return [
+            digest
+            for digest, suspect in self.suspects.items()
+            if crash in suspect.crashes - suspect.cleared
+        ]
+
+    def fact(self, digest: str) -> SuspectFact | None:
+        """Returns all that is known of a suspect."""
+        suspect = self.find(digest)
+        if suspect is None:
+            return None
+        return SuspectFact(
+            digest,
+            sorted(suspect.crashes),
+            sorted(suspect.cleared),
+            self.now() - suspect.suspected_at_s,
+        )
+
+    def recent_facts(
+        self, changed_within_s: float, most: int
+    ) -> list[SuspectFact]:
+        """Returns blocked and recently changed suspects, blocked ones first."""
+        now = self.now()
+        chosen = sorted(
+            (
+                digest
+                for digest, suspect in self.suspects.items()
+                if self.is_blocked(digest)
+                or now - suspect.changed_at_s <= changed_within_s
+            ),
+            key=self.uncleared_crashes,
+            reverse=True,
+        )
+        facts = (self.fact(digest) for digest in chosen[:most])
+        return [fact for fact in facts if fact is not None]
+
+
+def merge_facts(parts: Iterable[list[SuspectFact]]) -> list[SuspectFact]:
+    """Combines what several nodes know, one fact for each digest."""
+    merged: dict[str, SuspectFact] = {}
+    for fact in (fact for part in parts for fact in part):
+        known = merged.get(fact.digest, fact)
+        merged[fact.digest] = SuspectFact(
+            fact.digest,
+            sorted({*known.crashes, *fact.crashes}),
+            sorted({*known.cleared, *fact.cleared}),
+            max(known.age_s, fact.age_s),
+        )
+    return list(merged.values())
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -6,6 +6,11 @@
 
 import msgspec
 
+from amaranthlug.coordination.routing.fleet_suspects import (
+    FleetSuspects,
+    NoticeAnswer,
+    SuspectNotice,
+)
 from amaranthlug.coordination.routing.relay import Relay
 from amaranthlug.coordination.routing.relay_messages import (
     RelayAnswer,
@@ -28,6 +33,7 @@
 
 EXCHANGE_PATH = "/peer/exchange"
 CLAIM_PATH = "/peer/session-claim"
+NOTICE_PATH = "/peer/suspects"
 CONNECT_TIMEOUT_S = 0.3
 """Longest wait for a connection to another node, in seconds."""
 MAX_ANSWER_BYTES = 16 << 20
@@ -44,13 +50,16 @@
 
 
 class PeerEndpoint:
-    """Serves relay exchanges and claims on sessions to other nodes."""
+    """Serves relay exchanges, claims and notices to other nodes."""
 
-    def __init__(self, relay: Relay, owners: SessionOwners):
-        """Creates an endpoint for the relay and the session owner."""
+    def __init__(
+        self, relay: Relay, owners: SessionOwners, suspects: FleetSuspects
+    ):
+        """Creates an endpoint for a relay, session owner and suspects."""
         self.handlers: dict[str, tuple[type, Callable[[Any], Any]]] = {
             EXCHANGE_PATH: (RelayRequest, relay.answer),
             CLAIM_PATH: (ClaimRequest, owners.answer),
+            NOTICE_PATH: (SuspectNotice, suspects.receive),
         }
 
     def handle(self, incoming: IncomingRequest, responder: Responder) -> None:
@@ -76,7 +85,7 @@
 
 
 class HttpPeers:
-    """Implements `PeerPort` and `ClaimPort` with kept connections."""
+    """Sends messages of all kinds, on connections that it keeps."""
 
     def __init__(self) -> None:
         """Creates a client without connections."""
@@ -107,6 +116,16 @@
         """
         return self.post(address, CLAIM_PATH, request, timeout_s, ClaimAnswer)
 
+    def notify(
+        self, address: str, notice: SuspectNotice, timeout_s: float
+    ) -> NoticeAnswer:
+        """Sends a notice to the node at `address`.
+
+        Raises:
+            OSError: The node could not be reached or its response is invalid.
+        """
+        return self.post(address, NOTICE_PATH, notice, timeout_s, NoticeAnswer)
+
     def post(
         self,
         address: str,
--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -177,6 +177,18 @@
             )
         )
 
+    def wait_until_up(self) -> None:
+        """Waits until all servers are up and known to all nodes."""
+        wait_for(lambda: all(map(self.knows_all_servers, self.nodes)))
+
+    def knows_all_servers(self, node: RoutedNode) -> bool:
+        """Returns whether all servers are up and a node knows them."""
+        known = node.servers.usable_servers("pool")
+        up = {(s.server_id, s.started_ms) for s in self.servers if s.is_up}
+        return len(up) == len(self.servers) and (
+            {entry.instance_key for entry in known} == up
+        )
+
     def stop(self) -> None:
         """Stops nodes, servers and store."""
         for node, listeners in zip(self.nodes, self.listeners, strict=True):
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -1,8 +1,15 @@
 """Tests of requests that crash the servers that run them, over loopback."""
 
+import time
+
 import gevent
 import pytest
-from _platform_fleet import PlatformFleet, stream_headers, wait_for
+from _platform_fleet import (
+    PlatformFleet,
+    error_reason,
+    stream_headers,
+    wait_for,
+)
 from _routing import make_request, make_server
 
 from amaranthlug.protocol.routing.crash_watch import request_digest
@@ -16,6 +23,15 @@
 REPETITIONS = 8
 ALLOWED_CRASHES = 3
 """Servers that may end under a request before no other one gets it."""
+CRASHING_REQUESTS = pytest.mark.parametrize(
+    ("target", "method", "headers"),
+    [
+        ("/safe/bad", "GET", ()),
+        ("/once/bad", "POST", ()),
+        ("/stream/bad", "POST", stream_headers()),
+    ],
+)
+"""Requests of all kinds of routes."""
 
 
 class CrashFleet:
@@ -25,8 +41,12 @@
         """Starts nodes and servers."""
         self.fleet = PlatformFleet(NODES, SERVERS, events=1, event_s=0.0)
         self.requests = 0
+        self.crash_on("/safe/bad")
+
+    def crash_on(self, target: str) -> None:
+        """Makes requests for a target crash their servers."""
         for server in self.fleet.servers:
-            server.faults.crash_on = "/safe/bad"
+            server.faults.crash_on = target
 
     def send(self, target: str, node: int, **more):
         """Sends a request as a new one; returns its answer."""
@@ -35,19 +55,26 @@
             target, node=node, request_id=f"request-{self.requests}", **more
         )
 
-    def wait_until_served(self) -> None:
-        """Waits until all servers are up again and known to all nodes."""
+    def repeat(self, target: str, **more) -> None:
+        """Sends a request to the nodes in turn, always to live servers."""
+        for number in range(REPETITIONS):
+            self.fleet.wait_until_up()
+            self.send(target, number % NODES, **more)
+
+    def block(self, target: str, **more) -> None:
+        """Sends a request to one node until all nodes have blocked it."""
+        while self.crashes(target) < ALLOWED_CRASHES:
+            self.fleet.wait_until_up()
+            self.send(target, 0, **more)
+        self.fleet.wait_until_up()
         wait_for(
-            lambda: (
-                all(server.is_up for server in self.fleet.servers)
-                and all(
-                    {
-                        entry.instance_key
-                        for entry in node.servers.usable_servers("pool")
-                    }
-                    == {(s.server_id, s.started_ms) for s in self.fleet.servers}
-                    for node in self.fleet.nodes
-                )
+            lambda: all(
+                [
+                    suspect.uncleared_crashes()
+                    for suspect in node.suspects.table.suspects.values()
+                ]
+                == [ALLOWED_CRASHES]
+                for node in self.fleet.nodes
             )
         )
 
@@ -75,38 +102,99 @@
 
 # Guards against issue 24: a request that crashes its servers came again as a
 # new request at any node and was sent to servers each time.
-@pytest.mark.parametrize(
-    ("target", "method", "headers"),
-    [
-        ("/safe/bad", "GET", ()),
-        ("/once/bad", "POST", ()),
-        ("/stream/bad", "POST", stream_headers()),
-    ],
-)
+@CRASHING_REQUESTS
 def test_crashing_request_reaches_no_server_after_the_third(
     crash, target, method, headers
 ):
     """The third server that ends under it is the last one of the fleet."""
+    crash.crash_on(target)
+    crash.repeat(target, method=method, headers=headers)
+    assert crash.crashes(target) == ALLOWED_CRASHES
+
+
+# Guards against issue 24 where an engine ends in the middle of its stream.
+def test_stream_that_crashes_after_its_first_event_is_blocked(crash):
+    """Engines begin to answer before they crash."""
     for server in crash.fleet.servers:
-        server.faults.crash_on = target
-    for number in range(REPETITIONS):
-        crash.wait_until_served()
-        crash.send(target, number % NODES, method=method, headers=headers)
+        server.events = 9
+        server.faults.crash_after = 1
+    crash.crash_on("/stream/bad")
+    crash.repeat("/stream/bad", method="POST", headers=stream_headers())
+    assert crash.crashes("/stream/bad") == ALLOWED_CRASHES
+
+
+@CRASHING_REQUESTS
+def test_blocked_request_is_refused_at_once(crash, target, method, headers):
+    """It has not run, and its caller learns when it is allowed again."""
+    crash.crash_on(target)
+    crash.block(target, method=method, headers=headers)
+    for node in range(NODES):
+        started_at = time.monotonic()
+        answer = crash.send(target, node, method=method, headers=headers)
+        assert time.monotonic() - started_at < 0.5
+        assert answer.status == 503
+        assert error_reason(answer) == "poisoned_request"
+        assert float(answer.headers["retry-after"]) > 500
     assert crash.crashes(target) == ALLOWED_CRASHES
 
 
+def test_other_requests_of_the_route_are_served(crash):
+    """Only the same request of the same caller is blocked."""
+    crash.block("/safe/bad")
+    assert crash.send("/safe/good", 1).status == 200
+    assert crash.send("/safe/bad", 1, body=b"changed").status == 502
+
+
+def test_bystander_of_crashes_is_not_blocked(crash):
+    """A request that a server completes has not crashed the others."""
+    for server in crash.fleet.servers:
+        server.faults.delay_s = 0.1
+    for number in range(REPETITIONS):
+        crash.fleet.wait_until_up()
+        bad = gevent.spawn(
+            crash.send, "/safe/bad", number % NODES, body=str(number).encode()
+        )
+        gevent.sleep(0.05)
+        good = [
+            gevent.spawn(crash.send, "/safe/good", node)
+            for node in range(NODES)
+        ]
+        gevent.joinall([bad, *good])
+    digests = {
+        digest
+        for node in crash.fleet.nodes
+        for digest, suspect in node.suspects.table.suspects.items()
+        if suspect.cleared
+    }
+    assert len(digests) == 1
+    crash.fleet.wait_until_up()
+    answers = [crash.send("/safe/good", node) for node in range(NODES)]
+    assert [answer.status for answer in answers] == [200] * NODES
+
+
+def test_node_that_starts_later_knows_a_blocked_request(crash):
+    """The reports of the others repeat it."""
+    crash.block("/safe/bad")
+    crash.fleet.add_node()
+    crash.fleet.wait_until_up()
+    wait_for(lambda: len(crash.fleet.nodes[-1].suspects.table) > 0)
+    assert crash.send("/safe/bad", NODES).status == 503
+    assert crash.crashes("/safe/bad") == ALLOWED_CRASHES
+
+
 def test_line_names_a_request_under_which_a_server_ended(crash, caplog):
     """Requests that are the same have the same digest on all nodes."""
     caplog.set_level("INFO")
+    crash.crash_on("/once/bad")
     for number in range(2):
-        crash.wait_until_served()
-        crash.send("/safe/bad", number)
-        wait_for(lambda: len(ended_lines(caplog)) == crash.crashes("/safe/bad"))
+        crash.fleet.wait_until_up()
+        crash.send("/once/bad", number, method="POST")
+        wait_for(lambda n=number: len(ended_lines(caplog)) == n + 1)
     assert len({line.digest for line in ended_lines(caplog)}) == 1
-    assert {line.request_id for line in ended_lines(caplog)} == {
+    assert [line.request_id for line in ended_lines(caplog)] == [
         "request-1",
         "request-2",
-    }
+    ]
 
 
 def test_broken_connection_of_a_live_server_is_no_crash(crash, caplog):
--- a/test/test_explain.py
+++ b/test/test_explain.py
@@ -101,6 +101,25 @@
     assert "broken" in output
 
 
+def test_request_that_crashes_its_servers_is_explained(logged):
+    """The command shows the servers, also those of its repetitions."""
+    fleet = logged.fleet
+    for server in fleet.servers:
+        server.faults.crash_on = "/once/bad"
+    for number in range(3):
+        fleet.wait_until_up()
+        fleet.call("/once/bad", request_id=f"bad-{number}", method="POST")
+    table = fleet.nodes[0].suspects.table
+    wait_for(lambda: any(map(table.is_blocked, table.suspects)))
+    answer = fleet.call("/once/bad", request_id="bad-3", method="POST")
+    assert answer.status == 503
+    status, output = logged.explain("bad-3")
+    assert status == 0
+    assert "poisoned_request (status 503)" in output
+    assert output.count("ended under a request") == 3
+    assert output.count("is blocked after 3 servers ended under it") == 1
+
+
 def test_timeout_is_explained(logged):
     """The command shows the duration of the attempt that timed out."""
     for server in logged.fleet.servers:
