Send a lost copy of a session's version with the next claim

Callers: if the owner of a session was lost within 30 s of a copy that did not arrive, the session could move to another version in a roll-out.

Cause: SessionOwners.decide marked the version as copied without looking at the answer of the copy's holder.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/session_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/session_owners.py
@@ -133,12 +133,15 @@
         known = self.register.find(claim)
         if known is not None:
             claim = dataclasses.replace(claim, on_target=known)
-        for node in self.available(self.copy_holders(claim.session)):
-            copied = self.ask(node, ClaimRequest(claim, True), COPY_TIMEOUT_S)
-            if known is None and copied is not None:
-                claim = dataclasses.replace(claim, on_target=copied)
+        holder = self.copy_holder(claim.session)
+        copied = None
+        if holder is not None and self.is_available(holder):
+            copied = self.ask(holder, ClaimRequest(claim, True), COPY_TIMEOUT_S)
+        if known is None and copied is not None:
+            claim = dataclasses.replace(claim, on_target=copied)
         on_target = self.register.settle(claim)
-        self.register.mark_copied(claim)
+        if holder is None or copied is not None:
+            self.register.mark_copied(claim)
         return on_target
 
     def hand_over(self) -> None:
@@ -183,19 +186,22 @@
             return None
         return answer.on_target
 
-    def copy_holders(self, session: str) -> list[NodeEntry]:
-        """Returns the node that follows this one, if there is any."""
+    def copy_holder(self, session: str) -> NodeEntry | None:
+        """Returns the node that follows this one, None without one."""
         ranked = self.ranked_nodes(session)
         names = [entry.node for entry in ranked]
         if self.own_name not in names:
-            return []
+            return None
         rank = names.index(self.own_name)
-        return ranked[rank + 1 : rank + 2]
+        return next(iter(ranked[rank + 1 :]), None)
 
     def available(self, nodes: Iterable[NodeEntry]) -> list[NodeEntry]:
         """Returns the nodes that did not fail to answer a moment ago."""
-        now = self.clock()
-        return [e for e in nodes if self.avoided_until.get(e.node, 0.0) <= now]
+        return [entry for entry in nodes if self.is_available(entry)]
+
+    def is_available(self, node: NodeEntry) -> bool:
+        """Returns whether a node did not fail to answer a moment ago."""
+        return self.avoided_until.get(node.node, 0.0) <= self.clock()
 
     def ranked_nodes(self, session: str) -> list[NodeEntry]:
         """Returns the first serving nodes in rendezvous order of a session."""
