Send the copy of a session's version to its next holder

Callers: in a roll-out a session could move to another version if the holder of its copy left and its owner was lost up to 30 s later, although the session had sent requests in between.

Cause: the owner remembered that the version was copied, not to whom, so a new holder got it only with the renewal (nodes that are added get it from hand_over; a node that moves up does not). The owner remembers the holder now.

test_next_holder_gets_a_copy_with_the_next_claim failed before.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/session_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/session_owners.py
@@ -123,17 +123,18 @@
         return ClaimAnswer(self.decide(request.claim))
 
     def decide(self, claim: SessionClaim) -> bool:
-        """Decides as the owner; a first claim goes to the copy as well.
+        """Decides as the owner; sends the version to a holder without a copy.
 
         The node with the copy may know the session from the time when it was
         the owner itself.
         """
-        if not self.register.needs_copy(claim):
+        holder = self.copy_holder(claim.session)
+        holder_name = holder.node if holder is not None else None
+        if not self.register.needs_copy(claim, holder_name):
             return self.register.settle(claim)
         known = self.register.find(claim)
         if known is not None:
             claim = dataclasses.replace(claim, on_target=known)
-        holder = self.copy_holder(claim.session)
         copied = None
         if holder is not None and self.is_available(holder):
             copied = self.ask(holder, ClaimRequest(claim, True), COPY_TIMEOUT_S)
@@ -141,7 +142,7 @@
             claim = dataclasses.replace(claim, on_target=copied)
         on_target = self.register.settle(claim)
         if holder is None or copied is not None:
-            self.register.mark_copied(claim)
+            self.register.mark_copied(claim, holder_name)
         return on_target
 
     def hand_over(self) -> None:
--- a/packages/amaranthlug/src/amaranthlug/state/routing/session_claims.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/session_claims.py
@@ -37,11 +37,13 @@
         on_target: The session uses the new version, else an older one.
         used_at: Clock at its last use, in seconds.
         copied_at: Clock when another node last got a copy, in seconds.
+        copied_to: Name of that node, None without one.
     """
 
     on_target: bool
     used_at: float
     copied_at: float = -math.inf
+    copied_to: str | None = None
 
 
 class SessionRegister:
@@ -93,13 +95,18 @@
             self.entries.popitem(last=False)
         return entry.on_target
 
-    def needs_copy(self, claim: SessionClaim) -> bool:
-        """Returns whether the copy is missing or about to expire."""
+    def needs_copy(self, claim: SessionClaim, holder: str | None) -> bool:
+        """Returns whether the copy at `holder` is missing or soon expires."""
         entry = self.live_entry(claim)
-        return entry is None or self.clock() - entry.copied_at > COPY_REFRESH_S
-
-    def mark_copied(self, claim: SessionClaim) -> None:
-        """Records that another node has a copy."""
+        return (
+            entry is None
+            or entry.copied_to != holder
+            or self.clock() - entry.copied_at > COPY_REFRESH_S
+        )
+
+    def mark_copied(self, claim: SessionClaim, holder: str | None) -> None:
+        """Records that `holder` has a copy; None if no node can hold one."""
         entry = self.entries.get((claim.rollout, claim.session))
         if entry is not None:
             entry.copied_at = self.clock()
+            entry.copied_to = holder
--- a/test/test_session_owners.py
+++ b/test/test_session_owners.py
@@ -113,6 +113,19 @@
     assert not fleet.settle(other, "s", True)
 
 
+# Guards against sessions that lose their version when first the holder of the
+# copy leaves and then the owner, with claims in between.
+def test_next_holder_gets_a_copy_with_the_next_claim(fleet):
+    """A holder that left cannot be the one that has the copy."""
+    owner, holder, _ = (e.node for e in fleet.parts["n0"].ranked_nodes("s"))
+    assert not fleet.settle(owner, "s", False)
+    del fleet.parts[holder]
+    assert not fleet.settle(owner, "s", False)
+    fleet.lost.add(owner)
+    other = next(n for n in fleet.parts if n not in (owner, holder))
+    assert not fleet.settle(other, "s", True)
+
+
 def test_version_is_known_to_an_owner_that_joins(fleet):
     """Added nodes take over sessions whose version they must not change."""
     sessions = [f"s{number}" for number in range(100)]
