Let the test of notices wait for the last one

test_crashes_seen_at_different_nodes_block_a_request_everywhere[90] failed once beside four soaks (6 of 90 nodes). Traced: it waited 0.06 s of real time; with a stall of the process of 0.08 s in it none of the 90 nodes has blocked the request. It waits until no notice is sent any more now, with the same checks.

--- a/test/test_suspects.py
+++ b/test/test_suspects.py
@@ -181,8 +181,13 @@
         return self.parts[name].receive(notice)
 
     def settle(self) -> None:
-        """Waits until all notices have arrived."""
-        gevent.sleep(3 * NOTICE_DELAY_S)
+        """Waits until all notices have arrived and none is to be sent."""
+        sent = -1
+        while sent != self.messages or any(
+            part.unsent for part in self.parts.values()
+        ):
+            sent = self.messages
+            gevent.sleep(2 * NOTICE_DELAY_S)
 
     def blocking_nodes(self) -> int:
         """Returns how many nodes have blocked the request `bad`."""
