Keep what nodes know when the store returns to an older copy

Callers: after a drill in which the store comes back from a copy some seconds old, nodes did not take the operator's next configuration (its offset was lower than the last one), sent to servers that had drained or left, dropped servers that the copy lacked, told callers to connect to nodes that had left, took a completed roll-out for active, and members did not follow their relay, whose offsets were lower than theirs.

Cause: offsets were taken for the age of a record, and a full read for newer than what was known.

StoreEra takes the era of every answer, of the store and of relays; a higher one makes each topic be read anew and compared, an answer of a lower one is not used. A configuration never goes back, servers that drained or left stay so, ready ones that the copy lacks are used for 2 s, a lost order that is written again is the same roll-out, a final state is kept and written again by turns.

A store without the header works as before.

--- a/packages/amaranthlug-ui/src/amaranthlug_ui/explain.py
+++ b/packages/amaranthlug-ui/src/amaranthlug_ui/explain.py
@@ -106,9 +106,11 @@
         "rollout_share",
         "start",
         "stop",
+        "store_era",
         "store_lost",
         "store_regained",
         "topic_expired",
+        "topic_restored",
         "version_bad",
     }
 )
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
@@ -1,12 +1,16 @@
 """Tracks the current routing configuration and roll-out orders."""
 
 import logging
+from collections import deque
 from typing import Protocol
 
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
 from amaranthlug.state.routing.config import RoutingConfig
 from amaranthlug.state.routing.rollout import RolloutOrder
 
+MAX_PAST_ORDERS = 256
+"""Most orders remembered, to tell those of an older copy from new ones."""
+
 log = logging.getLogger(__name__)
 
 
@@ -39,12 +43,41 @@
         self.config: RoutingConfig | None = None
         self.offset = -1
         self.orders: dict[str, RolloutOrder] = {}
+        self.order_offsets: dict[str, int] = {}
+        self.past_orders: deque[RolloutOrder] = deque(maxlen=MAX_PAST_ORDERS)
+        self.lost_orders: set[str] = set()
 
     def replace(self, records: list[KeyedRecord]) -> None:
         """Applies a full read of the topic; known orders are kept."""
         for record in records:
             self.apply(record)
 
+    def restore(self, records: list[KeyedRecord]) -> list[KeyedRecord]:
+        """Keeps the configuration and the orders unless the copy has newer.
+
+        Offsets are given out again, so they no longer tell which is newer.
+        Orders that the copy lacks will be written again and are the same then.
+        """
+        self.offset = -1
+        self.order_offsets.clear()
+        self.lost_orders = set(self.orders)
+        return [record for record in records if self.restore_record(record)]
+
+    def restore_record(self, record: KeyedRecord) -> bool:
+        """Applies a record of the copy; False if it is outdated."""
+        if not self.apply(record):
+            return False
+        order = self.decoder.order(record)
+        if order is not None:
+            known = self.orders[order.service]
+            return (known.target, known.offset) == (order.target, order.offset)
+        config = self.decoder.config(record)
+        return (
+            config is None
+            or self.config is None
+            or config.version >= self.config.version
+        )
+
     def apply(self, record: KeyedRecord) -> bool:
         """Applies a configuration or an order.
 
@@ -88,10 +121,33 @@
 
     def set_order(self, order: RolloutOrder) -> None:
         """Stores a roll-out order unless its service has a newer one."""
-        known = self.orders.get(order.service)
-        if known is not None and known.offset >= order.offset:
+        service = order.service
+        known = self.orders.get(service)
+        if self.order_offsets.get(service, -1) >= order.offset:
+            return
+        if order == known:
+            self.lost_orders.discard(service)
+        elif order in self.past_orders:
+            return  # Older than the known one, from a copy of the store.
+        self.order_offsets[service] = order.offset
+        if order == known:
+            return
+        self.past_orders.append(order)
+        if (
+            known is not None
+            and service in self.lost_orders
+            and (order.target, order.duration_s)
+            == (known.target, known.duration_s)
+        ):
+            self.lost_orders.discard(service)
+            log.info(
+                "the order to roll out %s to %s was written again",
+                service,
+                order.target,
+                extra={"event": "rollout_order_again", "service": service},
+            )
             return
-        self.orders[order.service] = order
+        self.orders[service] = order
         log.info(
             "roll-out of %s to %s ordered",
             order.service,
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -121,6 +121,13 @@
         for record in records:
             self.apply(record)
 
+    def restore(self, records: list[KeyedRecord]) -> list[KeyedRecord]:
+        """Keeps the known reports; those of a copy may be of former nodes.
+
+        Live nodes report again within a second.
+        """
+        return []
+
     def apply(self, record: KeyedRecord) -> bool:
         """Applies a report or its removal; False if it is malformed."""
         if record.value is None:
@@ -278,6 +285,17 @@
         found[mine.node] = mine
         return list(found.values())
 
+    def reported_config_version(self) -> int:
+        """Returns the newest configuration at any reported node, -1 if none."""
+        entries = [
+            entry
+            for received in self.reports.values()
+            for entry in received.report.nodes
+        ]
+        if self.summary is not None:
+            entries += self.summary.nodes
+        return max((entry.config_version for entry in entries), default=-1)
+
     def evidence(self) -> list[EvidenceByRollout]:
         """Returns the answer counts reported by other nodes."""
         if self.summary is not None:
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/keyed_store.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/keyed_store.py
@@ -5,6 +5,8 @@
 
 from result import Result
 
+from amaranthlug.coordination.routing.store_era import StoreEra
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreError:
@@ -50,7 +52,13 @@
 
 
 class KeyedStore(Protocol):
-    """Client of the platform's store."""
+    """Client of the platform's store.
+
+    Attributes:
+        era: Learns the era of the store from each answer.
+    """
+
+    era: StoreEra
 
     def newest(self, topic: str) -> Result[TopicPage, StoreError]:
         """Returns the newest record of each key."""
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
@@ -18,6 +18,7 @@
     SentRecord,
     TopicUpdate,
 )
+from amaranthlug.coordination.routing.store_era import StoreEra
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.state.routing.fleet import NodeEntry
 
@@ -38,12 +39,14 @@
         self,
         followers: list[TopicFollower],
         fleet: FleetView,
+        era: StoreEra,
         is_leaving: Callable[[], bool],
         clock: Callable[[], float] = boot_seconds,
     ):
         """Creates a relay for the topics of `followers`."""
         self.followers = followers
         self.fleet = fleet
+        self.era = era
         self.is_leaving = is_leaving
         self.clock = clock
 
@@ -59,7 +62,7 @@
 
         Returns None if the caller should ask another relay.
         """
-        if not self.can_serve():
+        if not self.can_serve() or self.is_behind(request):
             return None
         started_at = self.clock()
         self.fleet.update_member(request.report)
@@ -67,7 +70,7 @@
             if self.clock() - started_at >= request.hold_s:
                 break
             gevent.sleep(CHANGE_CHECK_S)
-        if not self.can_serve():
+        if not self.can_serve() or self.is_behind(request):
             return None
         topics = {
             f.topic: self.topic_update(f, request) for f in self.followers
@@ -76,12 +79,31 @@
         digest = digest_of(summary.nodes)
         if digest == request.nodes_digest:
             summary.nodes = []
-        return RelayAnswer(topics, self.clock() - started_at, digest, summary)
+        return RelayAnswer(
+            topics,
+            self.clock() - started_at,
+            digest,
+            summary,
+            self.era.current,
+        )
+
+    def is_behind(self, request: RelayRequest) -> bool:
+        """Returns whether the requester knows a newer era of the store."""
+        era = self.era.current
+        return era is not None and request.era is not None and request.era > era
+
+    def position_in(
+        self, follower: TopicFollower, request: RelayRequest
+    ) -> int | None:
+        """Returns the requester's offset, None if it is of an older era."""
+        if request.era is not None and request.era != self.era.current:
+            return None
+        return request.positions.get(follower.topic)
 
     def has_changes(self, request: RelayRequest) -> bool:
         """Returns whether a topic has changes after the requested positions."""
         return any(
-            follower.changes_since(request.positions.get(follower.topic)) != []
+            follower.changes_since(self.position_in(follower, request)) != []
             for follower in self.followers
         )
 
@@ -89,7 +111,7 @@
         self, follower: TopicFollower, request: RelayRequest
     ) -> TopicUpdate:
         """Returns the changes of a topic, or the complete topic if unknown."""
-        records = follower.changes_since(request.positions.get(follower.topic))
+        records = follower.changes_since(self.position_in(follower, request))
         is_whole = records is None
         if records is None:
             records = [
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -20,6 +20,7 @@
     RelayRefusedError,
     RelayRequest,
 )
+from amaranthlug.coordination.routing.store_era import StoreEra
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.state.routing.fleet import NodeEntry
 
@@ -89,6 +90,7 @@
         zone: str,
         followers: list[TopicFollower],
         fleet: FleetView,
+        era: StoreEra,
         peers: PeerPort,
         clock: Callable[[], float] = boot_seconds,
     ):
@@ -97,6 +99,7 @@
         self.zone = zone
         self.followers = followers
         self.fleet = fleet
+        self.era = era
         self.peers = peers
         self.clock = clock
         self.relay: NodeEntry | None = None
@@ -163,7 +166,7 @@
         Relays of other zones follow those of this node's zone: an exchange
         across zones costs less than this node's own calls to the store.
         """
-        if any(follower.position is None for follower in self.followers):
+        if not all(follower.has_data() for follower in self.followers):
             return []
         nodes = self.fleet.nodes()
         local_relays, standbys = zone_readers(nodes, self.zone)
@@ -193,6 +196,7 @@
             {f.topic: f.position for f in self.followers},
             hold_s,
             self.nodes_digest,
+            self.era.current,
         )
         sent_at = self.clock()
         try:
@@ -205,6 +209,9 @@
         except OSError as error:
             self.avoid_relay(relay, str(error), NO_ANSWER_AVOID_S)
             return False
+        if not self.era.accept(answer.era):
+            self.avoid_relay(relay, "older era of the store", REFUSED_AVOID_S)
+            return False
         self.apply_answer(relay, answer, sent_at)
         return True
 
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_messages.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_messages.py
@@ -89,12 +89,14 @@
             the complete topic.
         hold_s: Maximum time to wait for a change, in seconds.
         nodes_digest: Digest of the node list that the requester has.
+        era: Era of the store to which the positions belong, None if unknown.
     """
 
     report: NodeReport
     positions: dict[str, int | None]
     hold_s: float
     nodes_digest: str
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,12 +109,14 @@
         nodes_digest: Digest of the relay's node list.
         summary: State of the fleet; its node list is empty if the digest
             equals that of the request.
+        era: Era of the store to which the topics belong, None if unknown.
     """
 
     topics: dict[str, TopicUpdate]
     held_s: float
     nodes_digest: str
     summary: FleetSummary
+    era: int | None = None
 
 
 class RelayRefusedError(OSError):
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_controller.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_controller.py
@@ -72,7 +72,7 @@
         self.own_name = own_name
         self.live_nodes = live_nodes
         self.running = running
-        self.due_since: dict[tuple[str, str, RolloutPhase], float] = {}
+        self.due_since: dict[tuple[object, ...], float] = {}
 
     def has_active_rollout(self) -> bool:
         """Returns whether any roll-out is active."""
@@ -95,6 +95,28 @@
             if next_phase is not None and self.is_my_turn(rollout, next_phase):
                 self.write_phase(rollout, next_phase)
 
+    def lost_statuses(self) -> list[TrackedRollout]:
+        """Returns the roll-outs whose state the store has lost."""
+        return [
+            rollout
+            for rollout in self.current_rollouts()
+            if rollout.status is not None
+            and self.tracker.stored_statuses.get(rollout.order.service)
+            != rollout.status
+        ]
+
+    def write_lost_statuses(self) -> None:
+        """Writes states again that an older copy of the store lacks.
+
+        Nodes take turns as with new phases, and the condition of the write
+        lets only one of them succeed.
+        """
+        for rollout in self.lost_statuses():
+            assert rollout.status is not None
+            phase = rollout.status.phase
+            if self.is_my_turn(rollout, phase, self.store.era.current):
+                self.write_phase(rollout, phase)
+
     def next_phase(self, rollout: TrackedRollout) -> RolloutPhase | None:
         """Returns the phase to record next, or None if none is due."""
         if rollout.phase is not RolloutPhase.ACTIVE:
@@ -127,15 +149,24 @@
         return self.tracker.elapsed_s(rollout) > earliest_s
 
     def is_my_turn(
-        self, rollout: TrackedRollout, next_phase: RolloutPhase
+        self,
+        rollout: TrackedRollout,
+        next_phase: RolloutPhase,
+        era: int | None = None,
     ) -> bool:
         """Returns whether this node may write the phase now.
 
         The first live node by name writes immediately; each further node waits
         `WRITE_TURN_S` longer in case those before it do not write.
+
+        Args:
+            rollout: The roll-out.
+            next_phase: The phase to write.
+            era: Era of the store for which it is written again, None for the
+                first time.
         """
         now = self.tracker.clock()
-        key = (rollout.order.service, rollout.order.target, next_phase)
+        key = (rollout.order.service, rollout.order.target, next_phase, era)
         due_at = self.due_since.setdefault(key, now)
         names = sorted(entry.node for entry in self.live_nodes())
         turn = (
@@ -163,6 +194,8 @@
         outcome = "written"
         if isinstance(result, Err):
             outcome = result.err_value.message
+        else:
+            self.tracker.record_written(status)
         log.info(
             "roll-out of %s to %s: writing phase %s: %s",
             order.service,
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
@@ -143,6 +143,7 @@
         self.evidence_age_s = evidence_age_s
         self.clock = clock
         self.statuses: dict[str, RolloutStatus] = {}
+        self.stored_statuses: dict[str, RolloutStatus] = {}
         self.rollouts: dict[str, TrackedRollout] = {}
         self.has_read_statuses = False
 
@@ -152,22 +153,51 @@
             self.apply(record)
         self.has_read_statuses = True
 
-    def apply(self, record: KeyedRecord) -> bool:
-        """Applies a recorded state; False if the record holds none."""
-        if record.value is None:
+    def restore(self, records: list[KeyedRecord]) -> list[KeyedRecord]:
+        """Keeps the states that are newer than those of an older copy.
+
+        `RolloutController` writes those again that the copy lacks.
+        """
+        self.stored_statuses.clear()
+        return [record for record in records if self.restore_record(record)]
+
+    def restore_record(self, record: KeyedRecord) -> bool:
+        """Applies a state of the copy; False if it is outdated."""
+        status = self.decode(record)
+        if status is None:
             return False
+        known = self.statuses.get(status.service)
+        order = self.orders().get(status.service)
+        if known is not None and known.target == status.target:
+            is_newer = known.phase is RolloutPhase.ACTIVE
+        else:
+            is_newer = order is None or order.target == status.target
+        if known is None or is_newer:
+            return self.apply(record)
+        self.stored_statuses[status.service] = status
+        return False
+
+    def decode(self, record: KeyedRecord) -> RolloutStatus | None:
+        """Returns a recorded state, None if the record holds none."""
+        if record.value is None:
+            return None
         try:
-            status = self.decoder.status(record)
+            return self.decoder.status(record)
         except ValueError as error:
             log.warning(
                 "ignoring malformed roll-out state: %s",
                 error,
                 extra={"event": "status_unreadable", "key": record.key},
             )
-            return False
+            return None
+
+    def apply(self, record: KeyedRecord) -> bool:
+        """Applies a recorded state; False if the record holds none."""
+        status = self.decode(record)
         if status is None:
             return False
         self.statuses[status.service] = status
+        self.stored_statuses[status.service] = status
         log.info(
             "roll-out of %s to %s is %s",
             status.service,
@@ -177,6 +207,14 @@
         )
         return True
 
+    def record_written(self, status: RolloutStatus) -> None:
+        """Takes a state that this node wrote before it is read back.
+
+        If the store loses it before that, only this node can write it again.
+        """
+        self.statuses[status.service] = status
+        self.stored_statuses[status.service] = status
+
     def rollout_of(self, service: str) -> TrackedRollout | None:
         """Returns the newest roll-out of a service, or None."""
         order = self.orders().get(service)
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Protocol
 
@@ -13,6 +14,12 @@
 """Time for which an entry that lapsed in an outage of the store is still used
 after the outage, in seconds. Live servers are listed again within about 2 s,
 and a server that is gone must get no request 2 s after its removal was read."""
+RESTORE_GRACE_S = 2.0
+"""Time for which a server is still used that is missing in an older copy to
+which the store returned, in seconds; live servers write their entries again
+within it."""
+MAX_DEPARTED = 1_000
+"""Most instances of removed servers that are remembered."""
 
 log = logging.getLogger(__name__)
 
@@ -65,6 +72,7 @@
         self.outage_ended_at = outage_ended_at
         self.clock = clock
         self.known: dict[str, KnownServer] = {}
+        self.departed: OrderedDict[tuple[str, int], None] = OrderedDict()
         self.by_service: dict[str, list[ServerEntry]] | None = None
 
     def replace(self, records: list[KeyedRecord]) -> None:
@@ -75,6 +83,39 @@
         for record in records:
             self.apply(record)
 
+    def restore(self, records: list[KeyedRecord]) -> list[KeyedRecord]:
+        """Compares the servers with those of an older copy of the store.
+
+        Servers that drain or were removed stay so, until they write an entry
+        after the copy. Ready ones that it lacks are used for a while, until
+        they have written their entries again.
+        """
+        valid = [r for r in records if not self.is_outdated(r)]
+        in_copy = {record.key for record in records}
+        for key in [key for key in self.known if key not in in_copy]:
+            self.remove(key, RESTORE_GRACE_S)
+        for record in valid:
+            self.apply(record)
+        return valid
+
+    def is_outdated(self, record: KeyedRecord) -> bool:
+        """Returns whether a copy's entry is older than what is known."""
+        try:
+            entry = self.decoder.server(record)
+        except ValueError:
+            return False  # `apply` reports it.
+        if entry.instance_key in self.departed:
+            return True
+        known = self.known.get(record.key)
+        if known is None:
+            return False
+        if known.entry.instance_key != entry.instance_key:
+            return entry.started_ms < known.entry.started_ms
+        return (
+            known.entry.state is ServerState.DRAINING
+            and entry.state is ServerState.READY
+        )
+
     def apply(self, record: KeyedRecord) -> bool:
         """Applies an entry or its removal; True if it changed anything.
 
@@ -99,6 +140,7 @@
         ):
             return False
         self.by_service = None
+        self.departed.pop(entry.instance_key, None)
         first_seen_at = self.clock()
         if known is not None and known.entry.instance_key == entry.instance_key:
             first_seen_at = known.first_seen_at
@@ -117,17 +159,24 @@
         )
         return True
 
-    def remove(self, key: str) -> bool:
-        """Removes an entry, with a delay if it may have lapsed in an outage."""
+    def remove(self, key: str, grace_s: float = 0.0) -> bool:
+        """Removes an entry, with a delay if it may have lapsed in an outage.
+
+        Args:
+            key: Key of the entry.
+            grace_s: Time for which a ready server is used in any case, in
+                seconds.
+        """
         known = self.known.get(key)
         if known is None or known.drop_at is not None:
             return False
         now = self.clock()
-        lapsed_in_outage = now - self.outage_ended_at() < LAPSE_GRACE_S
-        if lapsed_in_outage and known.entry.state is ServerState.READY:
-            known.drop_at = now + LAPSE_GRACE_S
+        if now - self.outage_ended_at() < LAPSE_GRACE_S:
+            grace_s = max(grace_s, LAPSE_GRACE_S)
+        if grace_s and known.entry.state is ServerState.READY:
+            known.drop_at = now + grace_s
         else:
-            del self.known[key]
+            self.drop(key)
         self.by_service = None
         log.info(
             "server %s was removed from the store",
@@ -135,11 +184,17 @@
             extra={
                 "event": "server_gone",
                 "server": key,
-                "grace": lapsed_in_outage,
+                "grace_s": grace_s,
             },
         )
         return True
 
+    def drop(self, key: str) -> None:
+        """Forgets a server, but not which instance it was."""
+        self.departed[self.known.pop(key).entry.instance_key] = None
+        if len(self.departed) > MAX_DEPARTED:
+            self.departed.popitem(last=False)
+
     def usable_servers(self, service: str) -> list[ServerEntry]:
         """Returns the ready servers of a service and drops expired entries."""
         now = self.clock()
@@ -149,7 +204,7 @@
             if known.drop_at is not None and known.drop_at <= now
         ]
         for key in expired:
-            del self.known[key]
+            self.drop(key)
             self.by_service = None
         if self.by_service is None:
             self.by_service = {}
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -41,6 +41,16 @@
         """Applies a new record; True if it changed anything."""
         ...
 
+    def restore(self, records: list[KeyedRecord]) -> list[KeyedRecord]:
+        """Compares the contents with an older copy to which the store returned.
+
+        What is known to be newer than the copy is kept.
+
+        Returns:
+            The records of the copy that are not outdated.
+        """
+        ...
+
 
 class TopicFollower:
     """Reads a topic in a greenlet, or applies what a relay has read.
@@ -55,6 +65,8 @@
         outage_ended_at: Boot clock when the first read that succeeded after
             the last outage was sent, in seconds.
         latest_records: Key -> last record that changed anything.
+        restored_from: Offset of the next read before the store returned to an
+            older copy that is not read yet; None without one.
         min_delta_offset: Lowest offset from which all changes are known.
         reads_directly: Event that is set while this node reads the store
             itself, not through a relay.
@@ -96,6 +108,7 @@
         self.outage_ended_at = -math.inf
         self.latest_records: dict[str, KeyedRecord] = {}
         self.min_delta_offset = 0
+        self.restored_from: int | None = None
         self.reads_directly = Event()
         self.reads_directly.set()
         self.greenlet: gevent.Greenlet | None = None
@@ -113,6 +126,10 @@
         """Returns the time since the data was known complete, in seconds."""
         return self.clock() - self.confirmed_at
 
+    def has_data(self) -> bool:
+        """Returns whether the topic was read, if only before a restore."""
+        return self.position is not None or self.restored_from is not None
+
     def is_healthy(self) -> bool:
         """Returns whether there is no outage and no read is overdue.
 
@@ -168,10 +185,38 @@
 
     def replace(self, records: list[KeyedRecord], position: int) -> None:
         """Replaces the data by a full read of the topic."""
-        self.listener.replace(records)
+        if self.restored_from is None:
+            self.listener.replace(records)
+        else:
+            records = self.restore(records, position)
         self.latest_records = {record.key: record for record in records}
         self.position = self.min_delta_offset = position
 
+    def begin_restore(self) -> None:
+        """Makes the next read a full one, of the copy to which it returned."""
+        if self.position is not None:
+            self.restored_from = self.position
+        self.position = None
+
+    def restore(
+        self, records: list[KeyedRecord], position: int
+    ) -> list[KeyedRecord]:
+        """Compares the data with the copy; returns its valid records."""
+        valid = self.listener.restore(records)
+        log.warning(
+            "topic %s was read again from a copy",
+            self.topic,
+            extra={
+                "event": "topic_restored",
+                "topic": self.topic,
+                "position": position,
+                "former_position": self.restored_from,
+                "outdated": len(records) - len(valid),
+            },
+        )
+        self.restored_from = None
+        return valid
+
     def apply_changes(self, records: list[KeyedRecord], position: int) -> None:
         """Applies new records and moves to `position`."""
         for record in records:
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import logging
+import math
 import random
 import uuid
 from collections.abc import Callable
@@ -171,7 +172,10 @@
         self.random = random.Random(settings.seed)
         self.incarnation = uuid.uuid4().hex[:12]
         self.leaving = False
+        self.caught_up = False
         self.stop_requested = Event()
+        self.store_era = store.era
+        self.store_era.metrics = self.metrics
         self.config = ConfigSource(codec)
         breaker = StoreCircuitBreaker()
         self.config_follower = TopicFollower(
@@ -219,9 +223,18 @@
             self.server_follower,
             self.status_follower,
         ]
-        self.relay = Relay(self.followers, self.fleet, lambda: self.leaving)
+        for follower in (*self.followers, self.fleet.follower):
+            self.store_era.subscribe(follower.begin_restore)
+        self.relay = Relay(
+            self.followers, self.fleet, self.store_era, lambda: self.leaving
+        )
         self.relay_client = RelayClient(
-            settings.name, settings.zone, self.followers, self.fleet, peers
+            settings.name,
+            settings.zone,
+            self.followers,
+            self.fleet,
+            self.store_era,
+            peers,
         )
         self.controller = RolloutController(
             store,
@@ -268,7 +281,7 @@
         bounds = settings.bounds
         self.router = Router(
             self.config,
-            self.config_follower.age_s,
+            self.config_age_s,
             bounds.key_withdrawal_s - KEY_WITHDRAWAL_MARGIN_S,
             self.servers,
             self.rollouts,
@@ -304,6 +317,8 @@
             not self.is_ready()
             and boot_seconds() - started_at < ANNOUNCE_WAIT_S
         ):
+            if not self.fleet.follower.has_data():
+                self.fleet.follower.read_once()
             gevent.sleep(CHECK_PERIOD_S / 5)
         self.fleet.sync()
         self.relay_client.start()
@@ -317,8 +332,11 @@
     def advance_rollouts(self) -> None:
         """Corrects the ages of active roll-outs.
 
-        Also announces sessions and writes due phases if this node is ready.
+        Also announces sessions and writes due phases if this node is ready,
+        and states that the store has lost.
         """
+        if self.is_ready():
+            self.controller.write_lost_statuses()
         if not self.controller.has_active_rollout():
             return
         self.rollouts.adopt_ages(self.fleet.rollout_ages())
@@ -363,8 +381,9 @@
         return (
             not self.leaving
             and self.config.config is not None
-            and self.server_follower.position is not None
-            and self.status_follower.position is not None
+            and self.has_caught_up()
+            and self.server_follower.has_data()
+            and self.status_follower.has_data()
         )
 
     def entry_addresses(self, zone: str, region: str) -> list[str]:
@@ -391,8 +410,35 @@
             zone=settings.zone,
             region=settings.region,
             serving=self.is_ready(),
+            store_era=self.store_era.current,
+            config_version=self.config_version(),
         )
 
+    def config_version(self) -> int:
+        """Returns the version of the configuration, -1 without one."""
+        config = self.config.config
+        return config.version if config is not None else -1
+
+    def config_age_s(self) -> float:
+        """Returns the age of the configuration, in seconds.
+
+        It is infinite until the configuration is known not to be older than
+        that of the other nodes.
+        """
+        if not self.has_caught_up():
+            return math.inf
+        return self.config_follower.age_s()
+
+    def has_caught_up(self) -> bool:
+        """Returns whether this node has been as far as the others once.
+
+        The store may have returned to an older copy before this node started.
+        """
+        if not self.caught_up and self.fleet.follower.has_data():
+            reported = self.fleet.reported_config_version()
+            self.caught_up = self.config_version() >= max(0, reported)
+        return self.caught_up
+
     def node_report(self) -> NodeReport:
         """Returns this node's report for the other nodes."""
         return NodeReport(
--- a/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
@@ -25,6 +25,8 @@
         zone: Availability zone.
         region: Region of the zone.
         serving: False while the node drains or has no configuration.
+        store_era: Era of the store that it knows, None if unknown.
+        config_version: Version of its configuration, -1 without one.
     """
 
     node: str
@@ -34,6 +36,8 @@
     zone: str
     region: str
     serving: bool
+    store_era: int | None = None
+    config_version: int = -1
 
 
 @dataclasses.dataclass(frozen=True)
--- a/test/_routing.py
+++ b/test/_routing.py
@@ -9,6 +9,7 @@
     StoreError,
     TopicPage,
 )
+from amaranthlug.coordination.routing.store_era import StoreEra
 from amaranthlug.protocol.routing.messages import PromptPart, RoutedRequest
 from amaranthlug.state.routing.config import (
     CallerLimits,
@@ -127,6 +128,7 @@
 
     def __init__(self) -> None:
         """Creates an empty store."""
+        self.era = StoreEra()
         self.records: list[KeyedRecord] = []
         self.first = 0
         self.down = False
--- a/test/test_routing_knowledge.py
+++ b/test/test_routing_knowledge.py
@@ -34,6 +34,7 @@
     LAPSE_GRACE_S,
     ServerDirectory,
 )
+from amaranthlug.coordination.routing.store_era import StoreEra
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug_platform.records import PlatformRecords
 
@@ -44,11 +45,18 @@
     def __init__(self):
         """Starts empty."""
         self.content = {}
+        self.restored = False
 
     def replace(self, records):
         """Replaces the contents."""
         self.content = {r.key: r.value for r in records}
 
+    def restore(self, records):
+        """Replaces the contents by those of an older copy."""
+        self.restored = True
+        self.replace(records)
+        return records
+
     def apply(self, record):
         """Applies a record; True if it changed its key's value."""
         changed = self.content.get(record.key) != record.value
@@ -125,14 +133,20 @@
     relay_follower, _ = make_follower(store, clock)
     fleet = FleetView(FakeStore(), lambda: make_report("n1"), clock=clock)
     fleet.follower.read_once()
-    relay = Relay([relay_follower], fleet, lambda: False, clock)
+    relay = Relay([relay_follower], fleet, StoreEra(), lambda: False, clock)
     client_follower, listener = make_follower(store, clock)
     client_fleet = FleetView(
         FakeStore(), lambda: make_report("n2"), clock=clock
     )
     peers = InProcessPeers(relay)
     client = RelayClient(
-        "n2", "zone-a", [client_follower], client_fleet, peers, clock
+        "n2",
+        "zone-a",
+        [client_follower],
+        client_fleet,
+        StoreEra(),
+        peers,
+        clock,
     )
     relay_follower.read_once()
     client_follower.read_once()
@@ -272,6 +286,37 @@
     assert client_follower.position == 1
 
 
+def test_relay_sends_all_to_a_node_of_an_older_era(relay_pair):
+    """Its offsets mean other records since the store came back."""
+    store, _, relay_follower, client_follower, listener, client, _, relay = (
+        relay_pair
+    )
+    client.era.accept(1)
+    relay.era.accept(2)
+    store.put("a", b"1")
+    relay_follower.read_once()
+    client_follower.position = relay_follower.position
+    client.era.subscribe(client_follower.begin_restore)
+    assert client.exchange(make_node_entry("n1"), 0.0)
+    assert client.era.current == 2
+    assert listener.content == {"a": b"1"}
+    assert listener.restored
+
+
+def test_relay_of_an_older_era_is_not_believed(relay_pair):
+    """It refuses, and if it answered it would be ignored."""
+    store, _, relay_follower, _, listener, client, _, relay = relay_pair
+    client.era.accept(2)
+    relay.era.accept(1)
+    store.put("a", b"1")
+    relay_follower.read_once()
+    assert not client.exchange(make_node_entry("n1"), 0.0)
+    relay.is_behind = lambda request: False
+    assert not client.exchange(make_node_entry("n1"), 0.0)
+    assert listener.content == {}
+    assert client.era.current == 2
+
+
 def test_relay_reports_its_members(relay_pair):
     """A relay's report lists its members until they stop asking it."""
     _, clock, _, _, _, client, _, relay = relay_pair
--- a/test/test_routing_rollouts.py
+++ b/test/test_routing_rollouts.py
@@ -22,6 +22,7 @@
 from amaranthlug.state.routing.rollout import (
     OutcomeCount,
     RolloutPhase,
+    RolloutStatus,
     is_bad,
 )
 from amaranthlug.state.routing.session_claims import SessionRegister
@@ -330,6 +331,41 @@
     assert len(store.records) == 1
 
 
+def test_state_that_only_its_writer_knows_is_written_again(harness):
+    """The store may lose it before any node has read it."""
+    store = FakeStore()
+    controller = make_controller(harness, store, "n1", ("n1",))
+    controller.write_due_phases()
+    store.records.clear()
+    controller.follower.begin_restore()
+    controller.write_lost_statuses()
+    assert not store.records
+    controller.follower.read_once()
+    for _ in range(3):
+        controller.write_lost_statuses()
+        controller.follower.read_once()
+    assert len(store.records) == 1
+
+
+def test_second_node_writes_a_lost_state_when_the_first_does_not(harness):
+    """Each return of the store starts new turns."""
+    store = FakeStore()
+    controller = make_controller(harness, store, "n2")
+    for era in (1, 2):
+        store.era.accept(era)
+        harness.tracker.record_written(
+            RolloutStatus("pool", "v2", RolloutPhase.ACTIVE, 1)
+        )
+        store.records.clear()
+        controller.follower.begin_restore()
+        controller.follower.read_once()
+        controller.write_lost_statuses()
+        assert not store.records
+        harness.clock.advance(1.0)
+        controller.write_lost_statuses()
+        assert len(store.records) == 1
+
+
 def test_completion_waits_for_requests_on_old_servers(harness):
     """Old servers stop at once when a roll-out is completed."""
     store = FakeStore()
--- /dev/null
+++ b/test/test_store_era.py
@@ -0,0 +1,318 @@
+"""Tests of the era of the store and of data kept over a return to a copy."""
+
+import json
+
+import pytest
+from _fakes_log import FakeMetrics
+from _routing import FakeClock, make_order, make_server
+from result import Ok
+
+from amaranthlug.coordination.routing.config_source import ConfigSource
+from amaranthlug.coordination.routing.keyed_store import KeyedRecord
+from amaranthlug.coordination.routing.rollout_tracker import RolloutTracker
+from amaranthlug.coordination.routing.server_directory import (
+    RESTORE_GRACE_S,
+    ServerDirectory,
+)
+from amaranthlug.coordination.routing.store_era import StoreEra
+from amaranthlug.state.routing.rollout import RolloutPhase, RolloutStatus
+from amaranthlug.state.routing.servers import ServerState
+from amaranthlug.transport.routing.http_client import ResponseHead
+from amaranthlug_platform.store_client import StoreClient, decode_era
+
+
+@pytest.fixture
+def era():
+    """An era with metrics."""
+    era = StoreEra()
+    era.metrics = FakeMetrics()
+    return era
+
+
+def test_return_from_a_copy_is_told_once(era):
+    """Each subscriber starts anew with the first answer of the new era."""
+    calls = []
+    era.subscribe(lambda: calls.append(era.current))
+    assert all(era.accept(number) for number in (3, 3, 4, 4, 4, 6))
+    assert calls == [4, 6]
+    assert era.metrics.counts == {"store_era.restored": 2}
+
+
+def test_answer_of_an_older_era_is_not_used(era, caplog):
+    """It was on its way when the store came back."""
+    era.accept(4)
+    assert not era.accept(3)
+    assert era.current == 4
+    assert "ignoring an answer of era 3" in caplog.text
+    assert era.metrics.counts == {"store_era.outdated_answers": 1}
+
+
+def test_missing_era_is_unknown_and_not_zero(era, caplog):
+    """One line says so, and the answers are used as without the header."""
+    assert era.accept(None)
+    assert caplog.text == ""
+    era.accept(4)
+    assert era.accept(None)
+    assert era.accept(None)
+    assert era.current == 4
+    assert caplog.text.count("the store states no era") == 1
+
+
+@pytest.mark.parametrize("text", ["", "x", "-1", "1.5", "\u0663"])
+def test_malformed_era_is_unknown(text, caplog):
+    """A line shows what was received."""
+    assert decode_era(ResponseHead(200, [("Store-Era", text)])) is None
+    assert "malformed era" in caplog.text
+
+
+def test_era_is_decoded():
+    """The name of a header has no case."""
+    assert decode_era(ResponseHead(200, [("store-era", "12")])) == 12
+    assert decode_era(ResponseHead(200, [])) is None
+
+
+def test_pages_of_two_eras_are_not_combined(monkeypatch):
+    """The second page would come from the copy."""
+    client = StoreClient("127.0.0.1:1")
+    bodies = [
+        {"entries": [{"key": "a", "value": "", "offset": 0}], "end": 9},
+        {"entries": [{"key": "b", "value": "", "offset": 1}], "end": 2},
+    ]
+    bodies[0]["more_pages"] = True
+    eras = iter((1, 2))
+
+    def call(method, target, body, wait_s):
+        client.era.accept(next(eras))
+        answer = json.dumps(bodies.pop(0)).encode()
+        return Ok((ResponseHead(200, []), answer))
+
+    monkeypatch.setattr(client, "call", call)
+    result = client.newest("t")
+    assert "between two pages" in result.err_value.message
+
+
+class Decoder:
+    """Passes on what a test put into a record."""
+
+    def server(self, record):
+        """Returns the entry."""
+        return record.value
+
+    def status(self, record):
+        """Returns the state."""
+        return record.value
+
+    def order(self, record):
+        """Returns the order, None if the record holds none."""
+        return None if isinstance(record.value, int) else record.value
+
+    def config(self, record):
+        """Returns no configuration."""
+        return None
+
+
+def make_records(*values) -> list[KeyedRecord]:
+    """Returns records of decoded values."""
+    return [
+        KeyedRecord(getattr(value, "server_id", "key"), value, offset)
+        for offset, value in enumerate(values)
+    ]
+
+
+class RestoredServers:
+    """A directory, its clock and the servers in it."""
+
+    def __init__(self, *servers):
+        """Lists some servers."""
+        self.clock = FakeClock()
+        self.directory = ServerDirectory(
+            Decoder(), lambda: -1_000.0, self.clock
+        )
+        self.directory.replace(make_records(*servers))
+
+    def restore(self, *servers) -> int:
+        """Returns to a copy; returns how many of its records are valid."""
+        return len(self.directory.restore(make_records(*servers)))
+
+    def apply(self, server, value=True) -> None:
+        """Applies an entry that a server wrote, or its removal."""
+        entry = server if value else None
+        self.directory.apply(KeyedRecord(server.server_id, entry, 9))
+
+    def usable(self) -> set[str]:
+        """Returns the ids of the usable servers."""
+        return {e.server_id for e in self.directory.usable_servers("pool")}
+
+
+def test_removed_server_returns_only_with_an_entry_of_its_own():
+    """The copy lists it, but it may be gone."""
+    one, two = make_server("s1"), make_server("s2")
+    servers = RestoredServers(one, two)
+    servers.apply(two, value=False)
+    assert servers.restore(one, two) == 1
+    assert servers.usable() == {"s1"}
+    servers.apply(two)
+    assert servers.usable() == {"s1", "s2"}
+
+
+def test_draining_server_stays_so():
+    """A later instance of it is another one."""
+    draining = make_server("s1", state=ServerState.DRAINING)
+    servers = RestoredServers(draining)
+    assert servers.restore(make_server("s1")) == 0
+    assert servers.usable() == set()
+    assert servers.restore(make_server("s1", started_ms=2)) == 1
+    assert servers.usable() == {"s1"}
+
+
+def test_older_instance_does_not_replace_a_newer_one():
+    """A server started again after the copy."""
+    servers = RestoredServers(make_server("s1", started_ms=2))
+    assert servers.restore(make_server("s1", started_ms=1)) == 0
+    [entry] = servers.directory.usable_servers("pool")
+    assert entry.started_ms == 2
+
+
+def test_server_that_the_copy_lacks_has_a_grace_time():
+    """Live servers write their entries again."""
+    servers = RestoredServers(make_server("s1"), make_server("s2"))
+    servers.restore()
+    servers.clock.advance(RESTORE_GRACE_S - 0.1)
+    assert servers.usable() == {"s1", "s2"}
+    servers.apply(make_server("s1"))
+    servers.clock.advance(0.2)
+    assert servers.usable() == {"s1"}
+
+
+def test_server_that_drained_in_the_copy_drains():
+    """The copy may hold what was written between it and the read."""
+    servers = RestoredServers(make_server("s1"))
+    assert servers.restore(make_server("s1", state=ServerState.DRAINING)) == 1
+    assert servers.usable() == set()
+
+
+class RestoredOrders:
+    """A source of orders and its records."""
+
+    def __init__(self, *orders):
+        """Reads some orders."""
+        self.source = ConfigSource(Decoder())
+        for order in orders:
+            self.apply(order)
+
+    def apply(self, order) -> None:
+        """Applies an order that was appended."""
+        self.source.apply(KeyedRecord("key", order, order.offset))
+
+    def restore(self, *orders) -> int:
+        """Returns to a copy; returns how many of its records are valid."""
+        return len(
+            self.source.restore(
+                [KeyedRecord("key", order, order.offset) for order in orders]
+            )
+        )
+
+    def current(self):
+        """Returns the order in force."""
+        return self.source.orders["pool"]
+
+
+def test_older_order_of_a_copy_is_not_taken():
+    """The operator gave a newer one, which the copy lacks."""
+    old, new = make_order(offset=5), make_order(target="v3", offset=8)
+    orders = RestoredOrders(old, new)
+    assert orders.restore(old) == 0
+    assert orders.current() is new
+    orders.apply(make_order(target="v3", offset=6))
+    assert orders.current() is new
+
+
+def test_same_order_given_later_is_a_new_one():
+    """Only the first writing after the return repeats the lost one."""
+    order = make_order(offset=8)
+    orders = RestoredOrders(order)
+    orders.restore()
+    orders.apply(make_order(offset=6))
+    assert orders.current() is order
+    again = make_order(offset=7)
+    orders.apply(again)
+    assert orders.current() is again
+
+
+def test_order_in_the_copy_is_not_expected_again():
+    """A later one of the same version is new."""
+    order = make_order(offset=5)
+    orders = RestoredOrders(order)
+    assert orders.restore(order) == 1
+    again = make_order(offset=6)
+    orders.apply(again)
+    assert orders.current() is again
+
+
+class RestoredStatuses:
+    """A tracker of the roll-out to v2."""
+
+    def __init__(self, phase):
+        """Reads a recorded phase."""
+        self.tracker = RolloutTracker(
+            Decoder(),
+            lambda: {"pool": make_order()},
+            list,
+            lambda: 0.0,
+            FakeClock(),
+        )
+        self.tracker.apply(self.record(phase))
+
+    def record(self, phase, target="v2") -> KeyedRecord:
+        """Returns the record of a phase."""
+        return KeyedRecord("k", RolloutStatus("pool", target, phase, 1), 0)
+
+    def restore(self, *records) -> int:
+        """Returns to a copy; returns how many of its records are valid."""
+        return len(self.tracker.restore(list(records)))
+
+    def phase(self):
+        """Returns the phase in force."""
+        return self.tracker.statuses["pool"].phase
+
+    def is_stored(self) -> bool:
+        """Returns whether the store holds the phase in force."""
+        stored = self.tracker.stored_statuses.get("pool")
+        return stored == self.tracker.statuses["pool"]
+
+
+@pytest.mark.parametrize(
+    "phase", [RolloutPhase.COMPLETED, RolloutPhase.REVERTED]
+)
+def test_final_phase_does_not_become_active_again(phase):
+    """Servers of the other version were stopped."""
+    statuses = RestoredStatuses(phase)
+    assert statuses.is_stored()
+    assert statuses.restore(statuses.record(RolloutPhase.ACTIVE)) == 0
+    assert statuses.phase() is phase
+    assert not statuses.is_stored()
+    statuses.tracker.apply(statuses.record(phase))
+    assert statuses.is_stored()
+
+
+def test_phase_that_the_copy_lacks_is_kept():
+    """The first phase may be lost as well."""
+    statuses = RestoredStatuses(RolloutPhase.ACTIVE)
+    assert statuses.restore() == 0
+    assert statuses.phase() is RolloutPhase.ACTIVE
+    assert not statuses.is_stored()
+
+
+def test_phase_written_again_by_another_node_is_taken():
+    """It may be further than what this node had read."""
+    statuses = RestoredStatuses(RolloutPhase.ACTIVE)
+    assert statuses.restore(statuses.record(RolloutPhase.COMPLETED)) == 1
+    assert statuses.phase() is RolloutPhase.COMPLETED
+
+
+def test_phase_of_a_former_rollout_is_not_taken():
+    """The copy holds that of the version before."""
+    statuses = RestoredStatuses(RolloutPhase.ACTIVE)
+    former = statuses.record(RolloutPhase.COMPLETED, target="v1")
+    assert statuses.restore(former) == 0
+    assert statuses.tracker.statuses["pool"].target == "v2"
