Let members keep their relay while it reads a copy of the store

Callers: none saw it yet. After the store returned from a copy every member left its relay, which refused while it read the topics anew, and read the store itself: 2.15 s until all of 8 nodes had their full state, and 60 calls in the first second, with 390 nodes several times the store's rate.

Cause: a relay that is reading a copy counted as one that cannot read, and a read that waits for records, up to 4 s, was not given up. An exchange waits up to 0.3 s for the copy now, within the margin of its sender, and waiting reads are started anew.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
@@ -24,6 +24,10 @@
 
 CHANGE_CHECK_S = 0.05
 """Period at which a held exchange checks for changes, in seconds."""
+RESTORE_WAIT_S = 0.3
+"""Longest wait of an exchange, beyond its hold time, until this node has read
+an older copy to which the store returned, in seconds; within the time that
+nodes allow for an answer. Refused, they would all read the store themselves."""
 
 
 def digest_of(nodes: list[NodeEntry]) -> str:
@@ -62,6 +66,7 @@
 
         Returns None if the caller should ask another relay.
         """
+        self.wait_for_copy()
         if not self.can_serve() or self.is_behind(request):
             return None
         started_at = self.clock()
@@ -70,6 +75,7 @@
             if self.clock() - started_at >= request.hold_s:
                 break
             gevent.sleep(CHANGE_CHECK_S)
+        self.wait_for_copy()
         if not self.can_serve() or self.is_behind(request):
             return None
         topics = {
@@ -87,6 +93,14 @@
             self.era.current,
         )
 
+    def wait_for_copy(self) -> None:
+        """Waits until all topics were read after the store returned."""
+        until = self.clock() + RESTORE_WAIT_S
+        while self.clock() < until and any(
+            follower.restored_from is not None for follower in self.followers
+        ):
+            gevent.sleep(CHANGE_CHECK_S)
+
     def is_behind(self, request: RelayRequest) -> bool:
         """Returns whether the requester knows a newer era of the store."""
         era = self.era.current
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -193,10 +193,18 @@
         self.position = self.min_delta_offset = position
 
     def begin_restore(self) -> None:
-        """Makes the next read a full one, of the copy to which it returned."""
+        """Makes the next read a full one, of the copy to which it returned.
+
+        A read that is still waiting for records is given up.
+        """
         if self.position is not None:
             self.restored_from = self.position
         self.position = None
+        if self.greenlet is not None and self.greenlet is not (
+            gevent.getcurrent()
+        ):
+            self.stop()
+            self.start()
 
     def restore(
         self, records: list[KeyedRecord], position: int
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -329,3 +329,19 @@
     wait_for(node.is_ready)
     assert restored.fleet.call("/safe/x", node=NODES).status == 200
     assert restored.fleet.call("/safe/x", node=NODES, key="key-2").status == 401
+
+
+# Guards against members that leave a relay which is reading the copy, and then
+# all read the store themselves, for two seconds and more.
+def test_members_keep_their_relay_while_it_reads_the_copy(restored):
+    """The store would get the calls of all nodes at the same moment."""
+    members = [
+        node
+        for node in restored.fleet.nodes
+        if node.relay_client.relay is not None
+    ]
+    restored.store.restore(0.5)
+    restored.wait_until_restored()
+    for _ in range(10):
+        gevent.sleep(0.1)
+        assert all(node.relay_client.relay is not None for node in members)
