Keep a lapsed server from returning with an older copy of the store

A server that had left during its grace time was used again when the store returned to a copy that lists it. It goes on to its end now, unless the server writes an entry of its own.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
@@ -111,10 +111,11 @@
             return False
         if known.entry.instance_key != entry.instance_key:
             return entry.started_ms < known.entry.started_ms
-        return (
-            known.entry.state is ServerState.DRAINING
-            and entry.state is ServerState.READY
+        left = (
+            known.drop_at is not None
+            or known.entry.state is ServerState.DRAINING
         )
+        return left and entry.state is ServerState.READY
 
     def apply(self, record: KeyedRecord) -> bool:
         """Applies an entry or its removal; True if it changed anything.
--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -165,6 +165,15 @@
     assert servers.usable() == {"s1"}
 
 
+def test_server_that_lapsed_does_not_return_with_the_copy():
+    """Its grace time goes on until it writes its entry."""
+    servers = RestoredServers(make_server("s1"))
+    servers.directory.remove("s1", RESTORE_GRACE_S)
+    assert servers.restore(make_server("s1")) == 0
+    servers.clock.advance(RESTORE_GRACE_S + 0.1)
+    assert servers.usable() == set()
+
+
 def test_older_instance_does_not_replace_a_newer_one():
     """A server started again after the copy."""
     servers = RestoredServers(make_server("s1", started_ms=2))
