Know an order that was written again in a second copy of the store

If the store returned twice, an order that the operator had written again in between counted as older than itself: it was not passed on to members, and the next order for the same version was taken for the lost one. Each writing of the order in force is remembered now. Found in reading; test_order_written_again_is_the_same_in_a_second_copy failed before.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
@@ -35,7 +35,19 @@
 
 
 class ConfigSource:
-    """Keeps the newest valid configuration; never goes back to an older one."""
+    """Keeps the newest valid configuration; never goes back to an older one.
+
+    Attributes:
+        config: The configuration in force.
+        offset: Its offset in the topic, -1 if unknown since a restore.
+        orders: Service -> its roll-out order in force.
+        order_offsets: Service -> offset of its last order since a restore.
+        past_orders: The last orders read, those in force included.
+        lost_orders: Services whose order is missing in an older copy of the
+            store and will be written again.
+        writings: Service -> its order in force, once for each offset at which
+            the operator wrote it.
+    """
 
     def __init__(self, decoder: OperatorDecoder):
         """Starts without a configuration."""
@@ -46,6 +58,7 @@
         self.order_offsets: dict[str, int] = {}
         self.past_orders: deque[RolloutOrder] = deque(maxlen=MAX_PAST_ORDERS)
         self.lost_orders: set[str] = set()
+        self.writings: dict[str, list[RolloutOrder]] = {}
 
     def replace(self, records: list[KeyedRecord]) -> None:
         """Applies a full read of the topic; known orders are kept."""
@@ -69,8 +82,7 @@
             return False
         order = self.decoder.order(record)
         if order is not None:
-            known = self.orders[order.service]
-            return (known.target, known.offset) == (order.target, order.offset)
+            return order in self.writings[order.service]
         config = self.decoder.config(record)
         return (
             config is None
@@ -125,13 +137,13 @@
         known = self.orders.get(service)
         if self.order_offsets.get(service, -1) >= order.offset:
             return
-        if order == known:
+        if order in self.writings.get(service, ()):
             self.lost_orders.discard(service)
-        elif order in self.past_orders:
+            self.order_offsets[service] = order.offset
+            return
+        if order in self.past_orders:
             return  # Older than the known one, from a copy of the store.
         self.order_offsets[service] = order.offset
-        if order == known:
-            return
         self.past_orders.append(order)
         if (
             known is not None
@@ -140,6 +152,7 @@
             == (known.target, known.duration_s)
         ):
             self.lost_orders.discard(service)
+            self.writings[service].append(order)
             log.info(
                 "the order to roll out %s to %s was written again",
                 service,
@@ -148,6 +161,7 @@
             )
             return
         self.orders[service] = order
+        self.writings[service] = [order]
         log.info(
             "roll-out of %s to %s ordered",
             order.service,
--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -248,6 +248,19 @@
     assert orders.current() is again
 
 
+def test_order_written_again_is_the_same_in_a_second_copy():
+    """The copy may hold its second writing."""
+    order, again = make_order(offset=8), make_order(offset=6)
+    orders = RestoredOrders(order)
+    orders.restore()
+    orders.apply(again)
+    assert orders.restore(again) == 1
+    assert orders.current() is order
+    later = make_order(offset=7)
+    orders.apply(later)
+    assert orders.current() is later
+
+
 def test_order_in_the_copy_is_not_expected_again():
     """A later one of the same version is new."""
     order = make_order(offset=5)
