Bound both waits of an exchange for a copy of the store together

A relay could wait 0.3 s before and 0.3 s after the hold time of an exchange, longer than its sender waits. Both end together now. Found in reading, no test showed it.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
@@ -66,16 +66,17 @@
 
         Returns None if the caller should ask another relay.
         """
-        self.wait_for_copy()
+        started_at = self.clock()
+        until = started_at + request.hold_s + RESTORE_WAIT_S
+        self.wait_for_copy(until)
         if not self.can_serve() or self.is_behind(request):
             return None
-        started_at = self.clock()
         self.fleet.update_member(request.report)
         while self.can_serve() and not self.has_changes(request):
             if self.clock() - started_at >= request.hold_s:
                 break
             gevent.sleep(CHANGE_CHECK_S)
-        self.wait_for_copy()
+        self.wait_for_copy(until)
         if not self.can_serve() or self.is_behind(request):
             return None
         topics = {
@@ -93,9 +94,12 @@
             self.era.current,
         )
 
-    def wait_for_copy(self) -> None:
-        """Waits until all topics were read after the store returned."""
-        until = self.clock() + RESTORE_WAIT_S
+    def wait_for_copy(self, until: float) -> None:
+        """Waits until all topics were read after the store returned.
+
+        Args:
+            until: Clock at which the wait ends in any case, in seconds.
+        """
         while self.clock() < until and any(
             follower.restored_from is not None for follower in self.followers
         ):
