--- a/test/_routing.py
+++ b/test/_routing.py
@@ -123,6 +123,31 @@
     return dataclasses.replace(RolloutOrder("pool", "v2", 24.0, 5), **changes)
 
 
+class RecordingListener:
+    """A topic listener that keeps the contents of its topic."""
+
+    def __init__(self):
+        """Starts empty."""
+        self.content = {}
+        self.restored = False
+
+    def replace(self, records):
+        """Replaces the contents."""
+        self.content = {r.key: r.value for r in records}
+
+    def restore(self, records):
+        """Replaces the contents by those of an older copy."""
+        self.restored = True
+        self.replace(records)
+        return records
+
+    def apply(self, record):
+        """Applies a record; True if it changed its key's value."""
+        changed = self.content.get(record.key) != record.value
+        self.content[record.key] = record.value
+        return changed
+
+
 class FakeStore:
     """An in-memory store that can be made unavailable with `down`."""
 
--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -27,6 +27,7 @@
         # Nodes that do not settle versions with the owners of sessions move
         # two of them here.
         pytest.param(181, 4, id="sessions in a roll-out"),
+        pytest.param(522, 4, id="store returns to two older copies"),
     ],
 )
 def test_seed_breaks_no_promise(tmp_path, seed, nodes):
--- a/test/test_routing_knowledge.py
+++ b/test/test_routing_knowledge.py
@@ -9,6 +9,7 @@
 from _routing import (
     FakeClock,
     FakeStore,
+    RecordingListener,
     make_node_entry,
     make_report,
 )
@@ -39,31 +40,6 @@
 from amaranthlug_platform.records import PlatformRecords
 
 
-class RecordingListener:
-    """A topic listener that keeps the contents of its topic."""
-
-    def __init__(self):
-        """Starts empty."""
-        self.content = {}
-        self.restored = False
-
-    def replace(self, records):
-        """Replaces the contents."""
-        self.content = {r.key: r.value for r in records}
-
-    def restore(self, records):
-        """Replaces the contents by those of an older copy."""
-        self.restored = True
-        self.replace(records)
-        return records
-
-    def apply(self, record):
-        """Applies a record; True if it changed its key's value."""
-        changed = self.content.get(record.key) != record.value
-        self.content[record.key] = record.value
-        return changed
-
-
 def make_follower(store, clock, wait_s=1.0):
     """Returns a follower and its listener."""
     listener = RecordingListener()
--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -1,20 +1,38 @@
 """Tests of the era of the store and of data kept over a return to a copy."""
 
 import json
+import math
 
 import pytest
 from _fakes_log import FakeMetrics
-from _routing import FakeClock, make_order, make_server
+from _routing import (
+    FakeClock,
+    FakeStore,
+    RecordingListener,
+    make_node_entry,
+    make_order,
+    make_report,
+    make_server,
+)
 from result import Ok
 
 from amaranthlug.coordination.routing.config_source import ConfigSource
+from amaranthlug.coordination.routing.fleet_view import FleetSummary, FleetView
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
+from amaranthlug.coordination.routing.relay import Relay
+from amaranthlug.coordination.routing.relay_client import (
+    NODES_PER_RELAY,
+    RelayClient,
+    zone_relays,
+)
+from amaranthlug.coordination.routing.relay_messages import RelayRefusedError
 from amaranthlug.coordination.routing.rollout_tracker import RolloutTracker
 from amaranthlug.coordination.routing.server_directory import (
     RESTORE_GRACE_S,
     ServerDirectory,
 )
 from amaranthlug.coordination.routing.store_era import StoreEra
+from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.state.routing.rollout import RolloutPhase, RolloutStatus
 from amaranthlug.state.routing.servers import ServerState
 from amaranthlug.transport.routing.http_client import ResponseHead
@@ -338,3 +356,70 @@
     former = statuses.record(RolloutPhase.COMPLETED, target="v1")
     assert statuses.restore(former) == 0
     assert statuses.tracker.statuses["pool"].target == "v2"
+
+
+class ReadingFleet:
+    """Nodes of one zone, of which the relays read a store in this process."""
+
+    def __init__(self, count: int):
+        """Starts all nodes; each has read the store."""
+        self.store = FakeStore()
+        self.store.put("a", b"1")
+        self.entries = [make_node_entry(f"n{i}") for i in range(count)]
+        self.eras: dict[str, StoreEra] = {}
+        self.followers: dict[str, TopicFollower] = {}
+        self.relays: dict[str, Relay] = {}
+        self.clients: dict[str, RelayClient] = {}
+        for entry in self.entries:
+            self.add(entry.node)
+        self.relay_names = [e.node for e in zone_relays(self.entries, "zone-a")]
+
+    def add(self, name: str) -> None:
+        """Starts one node."""
+        era = self.eras[name] = StoreEra()
+        era.accept(1)
+        clock = FakeClock()
+        follower = TopicFollower(
+            self.store, "t", RecordingListener(), 1.0, clock=clock
+        )
+        follower.read_once()
+        era.subscribe(follower.begin_restore)
+        self.followers[name] = follower
+        fleet = FleetView(FakeStore(), lambda: make_report(name), clock=clock)
+        fleet.set_summary(FleetSummary(self.entries, {}, {}))
+        self.relays[name] = Relay([follower], fleet, era, lambda: False, clock)
+        self.clients[name] = RelayClient(
+            name, "zone-a", [follower], fleet, era, self, clock
+        )
+
+    def exchange(self, address, request, timeout_s):
+        """Passes an exchange on to a relay."""
+        answer = self.relays[address.partition(":")[0]].answer(request)
+        if answer is None:
+            raise RelayRefusedError("refused")
+        return answer
+
+    def return_to_copy(self) -> int:
+        """Returns the store to a copy; returns the calls until all know it."""
+        self.store.records[:] = []
+        self.store.put("a", b"0")
+        before = self.store.reads
+        for name in self.relay_names:
+            self.eras[name].accept(2)
+            self.followers[name].read_once()
+        for name, client in self.clients.items():
+            if name not in self.relay_names:
+                relay = client.relay_candidates()[0]
+                assert client.exchange(relay, 0.0)
+        return self.store.reads - before
+
+
+@pytest.mark.parametrize("count", [8, 90, 390])
+def test_only_relays_read_a_copy_from_the_store(count):
+    """The others would exceed its rate in the first second."""
+    fleet = ReadingFleet(count)
+    assert fleet.return_to_copy() == len(fleet.relay_names)
+    assert len(fleet.relay_names) == math.ceil(count / NODES_PER_RELAY)
+    for follower in fleet.followers.values():
+        assert follower.listener.content == {"a": b"0"}
+        assert follower.listener.restored
