--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fault_proxy.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fault_proxy.py
@@ -161,6 +161,18 @@
         self.server.stop(timeout=0)
         self.break_open()
 
+    def close_port(self) -> None:
+        """Refuses new connections, as a VM does whose process has ended."""
+        port = self.server.server_port
+        self.server.close()
+        self.server = StreamServer(
+            (LOOPBACK, port), self.handle_connection, backlog=1024
+        )
+
+    def reopen_port(self) -> None:
+        """Listens again at the same address."""
+        self.server.start()
+
     def set_rule(self, rule: FaultRule) -> None:
         """Replaces the faults and wakes the greenlets that wait on them."""
         self.rule = rule
--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -5,9 +5,12 @@
 from amaranthlug_platform_standins.soak import run_seed
 from amaranthlug_platform_standins.soak_callers import (
     CONTACT_S,
+    CRASHES_TO_BLOCK,
+    LATE_CRASHES,
     SESSION_S,
     Call,
     check_call,
+    find_late_crashes,
     find_moved_sessions,
 )
 from amaranthlug_platform_standins.soak_fleet import ROLLOUT_S
@@ -27,7 +30,12 @@
         # Nodes that do not settle versions with the owners of sessions move
         # two of them here.
         pytest.param(181, 4, id="sessions in a roll-out"),
+        # Nodes that judge a configuration by its offset go on taking a key that
+        # is withdrawn after the store returned.
         pytest.param(522, 4, id="store returns to two older copies"),
+        # Nodes that remember nothing of the request go on sending it: nine
+        # servers ended under it after all could have known it.
+        pytest.param(612, 4, id="a request crashes its servers"),
     ],
 )
 def test_seed_breaks_no_promise(tmp_path, seed, nodes):
@@ -84,6 +92,10 @@
         self.new_servers = [ServerRecord("v2")]
         self.all_servers = [*self.servers, *self.new_servers]
 
+    def crash_times(self):
+        """Returns no crash."""
+        return []
+
     def was_undisrupted(self, since, until):
         """Tells whether the disruption lies outside the span."""
         return self.disruption is None or not since <= self.disruption <= until
@@ -136,3 +148,51 @@
 def test_session_that_may_move_is_not_found(fleet, options):
     """An idle session is over, and faults may hide an owner."""
     assert find_moves(fleet, **options) == []
+
+
+class CrashRecord:
+    """What the check of crashes reads of a fleet."""
+
+    def __init__(self, times, disruption=None):
+        """Keeps the times of crashes and of a fault."""
+        self.times = times
+        self.disruption = disruption
+
+    def crash_times(self):
+        """Returns the times of the crashes."""
+        return self.times
+
+    def was_undisrupted(self, since, until):
+        """Tells whether the fault lies outside the span."""
+        return self.disruption is None or not since <= self.disruption <= until
+
+    was_undisturbed = was_undisrupted
+
+
+FIRST_CRASHES = [float(number) for number in range(CRASHES_TO_BLOCK)]
+KNOWN_AT = FIRST_CRASHES[-1] + CONTACT_S
+
+
+def late_crashes(count: int) -> list[float]:
+    """Returns the times of crashes, `count` of them after the limit."""
+    return FIRST_CRASHES + [KNOWN_AT + 0.1 + n for n in range(count)]
+
+
+def test_request_that_goes_on_crashing_servers_is_found():
+    """A fleet that forgets it sends it on."""
+    found = find_late_crashes(CrashRecord(late_crashes(LATE_CRASHES + 1)))
+    assert found == ["4 servers ended under a request that was known"]
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        CrashRecord(late_crashes(LATE_CRASHES)),
+        CrashRecord(FIRST_CRASHES + [KNOWN_AT - 0.1] * 9),
+        CrashRecord(late_crashes(LATE_CRASHES + 1), disruption=KNOWN_AT),
+        CrashRecord([1.0]),
+    ],
+)
+def test_crashes_that_the_rule_allows_are_not_found(record):
+    """Before all nodes know, within the allowance, or next to a fault."""
+    assert find_late_crashes(record) == []
