Count what the store has lost; start without the reports of other nodes

Gauges for the records that the store lost by returning to older copies and for the states of roll-outs written again; the fleet command shows the era.

A node whose configuration is not older than any reported is ready; if the topic of the reports alone could not be read, it stayed not ready, although the rest of the store answered. Found in reading; test_node_without_reports_of_others_takes_its_configuration failed before (it never caught up).

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_controller.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_controller.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from result import Err
+from result import Err, Ok
 
 from amaranthlug.coordination.routing.keyed_store import KeyedStore
 from amaranthlug.coordination.routing.rollout_tracker import (
@@ -73,6 +73,7 @@
         self.live_nodes = live_nodes
         self.running = running
         self.due_since: dict[tuple[object, ...], float] = {}
+        self.rewritten_states = 0
 
     def has_active_rollout(self) -> bool:
         """Returns whether any roll-out is active."""
@@ -115,7 +116,7 @@
             assert rollout.status is not None
             phase = rollout.status.phase
             if self.is_my_turn(rollout, phase, self.store.era.current):
-                self.write_phase(rollout, phase)
+                self.rewritten_states += self.write_phase(rollout, phase)
 
     def next_phase(self, rollout: TrackedRollout) -> RolloutPhase | None:
         """Returns the phase to record next, or None if none is due."""
@@ -174,11 +175,15 @@
         )
         return now - due_at >= turn * WRITE_TURN_S
 
-    def write_phase(self, rollout: TrackedRollout, phase: RolloutPhase) -> None:
-        """Writes a phase unless the topic has changed since the last read."""
+    def write_phase(self, rollout: TrackedRollout, phase: RolloutPhase) -> bool:
+        """Writes a phase unless the topic has changed since the last read.
+
+        Returns:
+            Whether the store has taken it.
+        """
         position = self.follower.position
         if position is None:
-            return
+            return False
         order = rollout.order
         started_ms = int(
             (time.time() - self.tracker.elapsed_s(rollout)) * 1_000
@@ -204,3 +209,4 @@
             outcome,
             extra={"event": "rollout_write", "position": position},
         )
+        return isinstance(result, Ok)
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -67,6 +67,7 @@
         latest_records: Key -> last record that changed anything.
         restored_from: Offset of the next read before the store returned to an
             older copy that is not read yet; None without one.
+        lost_records: Records that the store lost in all its returns.
         min_delta_offset: Lowest offset from which all changes are known.
         reads_directly: Event that is set while this node reads the store
             itself, not through a relay.
@@ -109,6 +110,7 @@
         self.latest_records: dict[str, KeyedRecord] = {}
         self.min_delta_offset = 0
         self.restored_from: int | None = None
+        self.lost_records = 0
         self.reads_directly = Event()
         self.reads_directly.set()
         self.greenlet: gevent.Greenlet | None = None
@@ -211,6 +213,8 @@
     ) -> list[KeyedRecord]:
         """Compares the data with the copy; returns its valid records."""
         valid = self.listener.restore(records)
+        if self.restored_from is not None:
+            self.lost_records += max(0, self.restored_from - position)
         log.warning(
             "topic %s was read again from a copy",
             self.topic,
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -173,6 +173,7 @@
         self.incarnation = uuid.uuid4().hex[:12]
         self.leaving = False
         self.caught_up = False
+        self.created_at = boot_seconds()
         self.stop_requested = Event()
         self.store_era = store.era
         self.store_era.metrics = self.metrics
@@ -356,13 +357,23 @@
                 self.session_owners.hand_over()
 
     def prune_departed_servers(self) -> None:
-        """Drops what is kept of servers that are gone, and old suspects."""
+        """Drops what is kept of servers that are gone, and old suspects.
+
+        Also updates the gauges of what the store has lost.
+        """
         listed = [known.entry for known in self.servers.known.values()]
         self.health.keep_only(listed)
         instance_keys = {entry.instance_key for entry in listed}
         self.queues.keep_only(instance_keys)
         self.upstreams.prune(instance_keys)
         self.suspects.table.drop_expired()
+        self.metrics.gauge(
+            "store_records_lost",
+            sum(follower.lost_records for follower in self.followers),
+        )
+        self.metrics.gauge(
+            "store_states_rewritten", self.controller.rewritten_states
+        )
 
     def update_retry_budget(self) -> None:
         """Sets this node's part of the fleet's retry budget."""
@@ -433,10 +444,21 @@
         """Returns whether this node has been as far as the others once.
 
         The store may have returned to an older copy before this node started.
+        If it does not give out the reports in time, this is not checked.
         """
-        if not self.caught_up and self.fleet.follower.has_data():
+        if self.caught_up or self.config.config is None:
+            return self.caught_up
+        if self.fleet.follower.has_data():
             reported = self.fleet.reported_config_version()
-            self.caught_up = self.config_version() >= max(0, reported)
+            self.caught_up = self.config_version() >= reported
+        elif boot_seconds() - self.created_at > ANNOUNCE_WAIT_S:
+            self.caught_up = True
+            log.warning(
+                "reports of other nodes are unreadable, taking configuration "
+                "%s for the newest",
+                self.config_version(),
+                extra={"event": "config_unchecked"},
+            )
         return self.caught_up
 
     def node_report(self) -> NodeReport:
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -9,12 +9,16 @@
     wait_for,
 )
 
+from amaranthlug.coordination.boot_clock import boot_seconds
+from amaranthlug.routed_node import ANNOUNCE_WAIT_S
 from amaranthlug.state.routing.rollout import RolloutPhase
+from amaranthlug_platform.fleet import FleetOverview
 from amaranthlug_platform.records import (
     OPERATOR_TOPIC,
     SERVERS_TOPIC,
     STATUS_TOPIC,
 )
+from amaranthlug_platform.store_client import StoreClient
 from amaranthlug_platform_standins.server import ServerStandIn
 from amaranthlug_platform_standins.soak_fleet import find_free_addresses
 
@@ -231,8 +235,14 @@
             == "completed"
         )
     )
-    gevent.sleep(1.0)
+    gevent.sleep(1.5)
     assert {r.phase for r in restored.rollouts()} == {RolloutPhase.COMPLETED}
+    metrics = [node.metrics.text() for node in restored.fleet.nodes]
+    rewritten = [
+        b"amaranthlug_store_states_rewritten 1.0" in m for m in metrics
+    ]
+    assert rewritten.count(True) == 1
+    assert all(b"amaranthlug_store_records_lost 1.0" in m for m in metrics)
     assert restored.store.topic(STATUS_TOPIC).end == 2
 
 
@@ -345,3 +355,31 @@
     for _ in range(10):
         gevent.sleep(0.1)
         assert all(node.relay_client.relay is not None for node in members)
+
+
+def test_node_without_reports_of_others_takes_its_configuration(restored):
+    """A part of the store may be down for longer than a start takes."""
+    node = restored.fleet.nodes[0]
+    node.caught_up = False
+    node.fleet.follower.position = None
+    node.created_at = boot_seconds()
+    assert not node.has_caught_up()
+    node.created_at -= ANNOUNCE_WAIT_S + 0.1
+    assert node.has_caught_up()
+
+
+def test_fleet_command_shows_the_era_of_each_node(restored):
+    """Operators see which nodes have noticed a return."""
+    restored.mark()
+    restored.restore()
+    restored.wait_until_restored()
+
+    def nodes_in_new_era() -> set[str]:
+        overview = FleetOverview(StoreClient(restored.store.address))
+        return {
+            row["node"]
+            for row in overview.list_nodes()
+            if row["store_era"] == restored.store.era
+        }
+
+    wait_for(lambda: len(nodes_in_new_era()) == NODES)
