Make the test of an order that is written again change its offset

The operator's records came back at the same offsets, so the test passed without the code that it is for. The order comes back one offset lower now, and the test fails if the source forgets which orders were lost. The gauges are waited for instead of read after a fixed time.

--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -1,5 +1,8 @@
 """Tests of a store that comes back from an older copy, over loopback."""
 
+import re
+import time
+
 import gevent
 import pytest
 from _platform_fleet import (
@@ -47,14 +50,19 @@
     def mark(self) -> None:
         """Lets some time pass, to which `restore` returns."""
         gevent.sleep(0.2)
-        self.marked_at = gevent.get_hub().loop.now()
+        self.marked_at = time.monotonic()
         gevent.sleep(0.2)
 
     def restore(self, rewrite_s: float = 0.3) -> None:
         """Returns the store to the marked time."""
-        gevent.get_hub().loop.update_now()
-        age_s = gevent.get_hub().loop.now() - self.marked_at
-        self.store.restore(age_s, rewrite_s)
+        self.store.restore(time.monotonic() - self.marked_at, rewrite_s)
+
+    def gauges(self, name: str) -> list[float]:
+        """Returns the value of a gauge at each node."""
+        pattern = re.compile(rf"^amaranthlug_{name} (\S+)$", re.MULTILINE)
+        texts = [node.metrics.text().decode() for node in self.fleet.nodes]
+        found = [pattern.search(text) for text in texts]
+        return [float(match[1]) if match else 0.0 for match in found]
 
     def wait_until_restored(self) -> None:
         """Waits until all nodes have read the copy."""
@@ -235,14 +243,10 @@
             == "completed"
         )
     )
-    gevent.sleep(1.5)
+    wait_for(lambda: restored.gauges("store_records_lost") == [1.0] * NODES)
+    wait_for(lambda: sum(restored.gauges("store_states_rewritten")) == 1.0)
+    gevent.sleep(1.0)
     assert {r.phase for r in restored.rollouts()} == {RolloutPhase.COMPLETED}
-    metrics = [node.metrics.text() for node in restored.fleet.nodes]
-    rewritten = [
-        b"amaranthlug_store_states_rewritten 1.0" in m for m in metrics
-    ]
-    assert rewritten.count(True) == 1
-    assert all(b"amaranthlug_store_records_lost 1.0" in m for m in metrics)
     assert restored.store.topic(STATUS_TOPIC).end == 2
 
 
@@ -251,7 +255,8 @@
     for version in (2, 3):
         restored.fleet.configure(make_wire_config(version))
     restored.mark()
-    restored.fleet.configure(make_wire_config(4))
+    for version in (4, 5):
+        restored.fleet.configure(make_wire_config(version))
     restored.order_rollout()
     wait_for(lambda: all(restored.rollouts()))
     before = [r.rollout_id for r in restored.rollouts()]
@@ -260,6 +265,10 @@
     restored.restore(rewrite_s=0.2)
     restored.wait_until_restored()
     gevent.sleep(1.0)
+    written_again = restored.store.topic(OPERATOR_TOPIC).newest["rollout/pool"]
+    assert {r.order.offset for r in restored.rollouts()} == {
+        written_again.offset + 1
+    }
     assert [r.rollout_id for r in restored.rollouts()] == before
     assert [r.started_at for r in restored.rollouts()] == pytest.approx(
         started_at, abs=0.3
