Pass on what a server writes again although its relay knew it

Cause: a relay keeps what it knows to be newer and leaves the outdated record out of what it passes on; the record that the server writes again changed nothing at the relay, so it was not passed on either. The keys whose data is kept without a record are remembered, and their next record is passed on.

test_server_that_the_copy_has_in_an_older_instance_is_used_on failed before.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -67,6 +67,9 @@
         latest_records: Key -> last record that changed anything.
         restored_from: Offset of the next read before the store returned to an
             older copy that is not read yet; None without one.
+        kept_keys: Keys whose data is kept although an older copy of the store
+            lacks it; their next record is passed on even if it brings nothing
+            new, since the nodes that read through this one have none.
         lost_records: Records that the store lost in all its returns.
         min_delta_offset: Lowest offset from which all changes are known.
         reads_directly: Event that is set while this node reads the store
@@ -110,6 +113,7 @@
         self.latest_records: dict[str, KeyedRecord] = {}
         self.min_delta_offset = 0
         self.restored_from: int | None = None
+        self.kept_keys: set[str] = set()
         self.lost_records = 0
         self.reads_directly = Event()
         self.reads_directly.set()
@@ -213,6 +217,9 @@
     ) -> list[KeyedRecord]:
         """Compares the data with the copy; returns its valid records."""
         valid = self.listener.restore(records)
+        known = {r.key for r in self.latest_records.values() if r.value}
+        self.kept_keys |= known
+        self.kept_keys -= {record.key for record in valid}
         if self.restored_from is not None:
             self.lost_records += max(0, self.restored_from - position)
         log.warning(
@@ -232,8 +239,9 @@
     def apply_changes(self, records: list[KeyedRecord], position: int) -> None:
         """Applies new records and moves to `position`."""
         for record in records:
-            if self.listener.apply(record):
+            if self.listener.apply(record) or record.key in self.kept_keys:
                 self.latest_records[record.key] = record
+                self.kept_keys.discard(record.key)
         self.position = position
         self.prune_removed_keys()
 
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -197,6 +197,22 @@
         assert restored.known_servers() == [{"s0", "s1", "late"}] * NODES
 
 
+# Guards against members that drop a server for good, since their relay knew it
+# and took the entry that it wrote again for nothing new (soak seed 810).
+def test_server_that_the_copy_has_in_an_older_instance_is_used_on(restored):
+    """It started again under its id in the lost time."""
+    restored.mark()
+    server = restored.fleet.servers[0]
+    server.crash()
+    gevent.sleep(0.1)
+    server.restart()
+    restored.fleet.wait_until_up()
+    restored.restore(rewrite_s=0.5)
+    for _ in range(30):
+        gevent.sleep(0.1)
+        assert restored.known_servers() == [{"s0", "s1"}] * NODES
+
+
 def test_server_that_does_not_return_is_dropped(restored):
     """It ended while the store was away."""
     restored.mark()
