Use servers on that wrote again between two returns of the store

Cause: a server in its grace time counted as removed when the second copy was compared, also if it was only missing in the first. The two are told apart now.

test_server_that_wrote_again_before_a_second_copy_is_used_on failed before. The code changes only in what is done after the store returned from a copy.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
@@ -44,11 +44,14 @@
         entry: Its newest entry.
         first_seen_at: Clock when this instance was first seen, in seconds.
         drop_at: Clock when it is to be dropped, in seconds; None if listed.
+        missing_in_copy: It is to be dropped since an older copy of the store
+            lacks it, not since its entry was removed.
     """
 
     entry: ServerEntry
     first_seen_at: float
     drop_at: float | None = None
+    missing_in_copy: bool = False
 
 
 class ServerDirectory:
@@ -93,7 +96,8 @@
         valid = [r for r in records if not self.is_outdated(r)]
         in_copy = {record.key for record in records}
         for key in [key for key in self.known if key not in in_copy]:
-            self.remove(key, RESTORE_GRACE_S)
+            if self.remove(key, RESTORE_GRACE_S) and key in self.known:
+                self.known[key].missing_in_copy = True
         for record in valid:
             self.apply(record)
         return valid
@@ -111,10 +115,8 @@
             return False
         if known.entry.instance_key != entry.instance_key:
             return entry.started_ms < known.entry.started_ms
-        left = (
-            known.drop_at is not None
-            or known.entry.state is ServerState.DRAINING
-        )
+        was_removed = known.drop_at is not None and not known.missing_in_copy
+        left = was_removed or known.entry.state is ServerState.DRAINING
         return left and entry.state is ServerState.READY
 
     def apply(self, record: KeyedRecord) -> bool:
--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -39,6 +39,8 @@
         # Servers that crashed had started again in the time that the store
         # lost. Members dropped them for good, as their relay knew them.
         pytest.param(810, 4, id="copy lists older instances of servers"),
+        # Servers had written again before the second of two returns.
+        pytest.param(910, 4, id="two copies without any server"),
     ],
 )
 def test_seed_breaks_no_promise(tmp_path, seed, nodes):
--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -192,6 +192,18 @@
     assert servers.usable() == set()
 
 
+# Guards against servers that are dropped although they have written again,
+# between two returns of the store (soak seed 910).
+def test_server_that_wrote_again_before_a_second_copy_is_used_on():
+    """The first copy lacked it, and the second one has its new entry."""
+    servers = RestoredServers(make_server("s1"))
+    servers.restore()
+    servers.clock.advance(1.0)
+    assert servers.restore(make_server("s1")) == 1
+    servers.clock.advance(RESTORE_GRACE_S)
+    assert servers.usable() == {"s1"}
+
+
 def test_older_instance_does_not_replace_a_newer_one():
     """A server started again after the copy."""
     servers = RestoredServers(make_server("s1", started_ms=2))
