Take a server back that only a copy of the store had lacked

Cause: a server whose grace time ended counted as removed, although nothing had said that it left. Only those whose entry was removed are remembered so now.

test_server_missing_in_a_copy_returns_with_the_next_one failed before. The code changes only in what is done after the store returned from a copy.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
@@ -193,8 +193,11 @@
         return True
 
     def drop(self, key: str) -> None:
-        """Forgets a server, but not which instance it was."""
-        self.departed[self.known.pop(key).entry.instance_key] = None
+        """Forgets a server, but not which instance was removed."""
+        known = self.known.pop(key)
+        if known.missing_in_copy:
+            return
+        self.departed[known.entry.instance_key] = None
         if len(self.departed) > MAX_DEPARTED:
             self.departed.popitem(last=False)
 
--- a/test/test_platform_soak.py
+++ b/test/test_platform_soak.py
@@ -41,6 +41,8 @@
         pytest.param(810, 4, id="copy lists older instances of servers"),
         # Servers had written again before the second of two returns.
         pytest.param(910, 4, id="two copies without any server"),
+        # A node was paused for longer than the grace time of its servers.
+        pytest.param(1016, 4, id="paused between two copies"),
     ],
 )
 def test_seed_breaks_no_promise(tmp_path, seed, nodes):
--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -204,6 +204,18 @@
     assert servers.usable() == {"s1"}
 
 
+# Guards against servers that count as gone since a copy lacked them for longer
+# than their grace time (soak seed 1016, a node that was paused).
+def test_server_missing_in_a_copy_returns_with_the_next_one():
+    """Nothing has said that it left."""
+    servers = RestoredServers(make_server("s1"))
+    servers.restore()
+    servers.clock.advance(RESTORE_GRACE_S + 0.1)
+    assert servers.usable() == set()
+    assert servers.restore(make_server("s1")) == 1
+    assert servers.usable() == {"s1"}
+
+
 def test_older_instance_does_not_replace_a_newer_one():
     """A server started again after the copy."""
     servers = RestoredServers(make_server("s1", started_ms=2))
