Decode the operator's records once when the store has returned

Cause: restore_record decoded a record again after apply had done so, which builds a configuration of 900 routes twice at every node. decode and take are shared by both now.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
@@ -78,12 +78,13 @@
 
     def restore_record(self, record: KeyedRecord) -> bool:
         """Applies a record of the copy; False if it is outdated."""
-        if not self.apply(record):
+        decoded = self.decode(record)
+        if decoded is None:
             return False
-        order = self.decoder.order(record)
+        config, order = decoded
+        self.take(config, order, record.offset)
         if order is not None:
             return order in self.writings[order.service]
-        config = self.decoder.config(record)
         return (
             config is None
             or self.config is None
@@ -95,23 +96,42 @@
 
         Returns False if the record is malformed or a removal.
         """
-        if record.value is None:
+        decoded = self.decode(record)
+        if decoded is None:
             return False
+        self.take(*decoded, record.offset)
+        return True
+
+    def decode(
+        self, record: KeyedRecord
+    ) -> tuple[RoutingConfig | None, RolloutOrder | None] | None:
+        """Returns configuration and order of a record, each None if absent.
+
+        Returns None if the record is malformed or a removal.
+        """
+        if record.value is None:
+            return None
         try:
-            config = self.decoder.config(record)
-            if config is not None:
-                self.set_config(config, record.offset)
-            order = self.decoder.order(record)
-            if order is not None:
-                self.set_order(order)
+            return self.decoder.config(record), self.decoder.order(record)
         except ValueError as error:
             log.warning(
                 "ignoring malformed operator record, keeping the last one: %s",
                 error,
                 extra={"event": "config_unreadable", "key": record.key},
             )
-            return False
-        return True
+            return None
+
+    def take(
+        self,
+        config: RoutingConfig | None,
+        order: RolloutOrder | None,
+        offset: int,
+    ) -> None:
+        """Takes what was decoded from the record at `offset`."""
+        if config is not None:
+            self.set_config(config, offset)
+        if order is not None:
+            self.set_order(order)
 
     def set_config(self, config: RoutingConfig, offset: int) -> None:
         """Activates a configuration unless a newer one is active."""
