Take a recorded state of a roll-out in one place

Cause: apply and record_written each set the same two tables, and restore_record had apply decode a record that it had decoded itself. Both go through record_stored now, and what was read through take, which also writes the line. No behaviour changes; the tests keep their assertions (a call in one follows the new name).

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_controller.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_controller.py
@@ -200,7 +200,7 @@
         if isinstance(result, Err):
             outcome = result.err_value.message
         else:
-            self.tracker.record_written(status)
+            self.tracker.record_stored(status)
         log.info(
             "roll-out of %s to %s: writing phase %s: %s",
             order.service,
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
@@ -173,7 +173,8 @@
         else:
             is_newer = order is None or order.target == status.target
         if known is None or is_newer:
-            return self.apply(record)
+            self.take(status)
+            return True
         self.stored_statuses[status.service] = status
         return False
 
@@ -196,8 +197,12 @@
         status = self.decode(record)
         if status is None:
             return False
-        self.statuses[status.service] = status
-        self.stored_statuses[status.service] = status
+        self.take(status)
+        return True
+
+    def take(self, status: RolloutStatus) -> None:
+        """Takes a state that was read."""
+        self.record_stored(status)
         log.info(
             "roll-out of %s to %s is %s",
             status.service,
@@ -205,12 +210,12 @@
             status.phase.value,
             extra={"event": "rollout", "service": status.service},
         )
-        return True
 
-    def record_written(self, status: RolloutStatus) -> None:
-        """Takes a state that this node wrote before it is read back.
+    def record_stored(self, status: RolloutStatus) -> None:
+        """Records a state that the store holds.
 
-        If the store loses it before that, only this node can write it again.
+        Also called for one that this node wrote, before it is read back: if the
+        store loses it before that, only this node can write it again.
         """
         self.statuses[status.service] = status
         self.stored_statuses[status.service] = status
--- a/test/test_routing_rollouts.py
+++ b/test/test_routing_rollouts.py
@@ -353,7 +353,7 @@
     controller = make_controller(harness, store, "n2")
     for era in (1, 2):
         store.era.accept(era)
-        harness.tracker.record_written(
+        harness.tracker.record_stored(
             RolloutStatus("pool", "v2", RolloutPhase.ACTIVE, 1)
         )
         store.records.clear()
