--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -248,6 +248,17 @@
     return read_answer(connection)
 
 
+def render_call(target: str, request_id: str, headers: tuple = ()) -> bytes:
+    """Returns the bytes of a GET request with a valid key."""
+    all_headers = [
+        ("Host", HOST),
+        ("Attempt-Id", request_id),
+        ("Authorization", f"Bearer {KEY}"),
+        *headers,
+    ]
+    return render_request("GET", target, all_headers, b"")
+
+
 def read_answer(connection: HttpConnection, limit_s: float = 6.0) -> Answer:
     """Reads an answer, also one whose body breaks off."""
     head = connection.read_head(limit_s)
--- a/test/test_platform_path.py
+++ b/test/test_platform_path.py
@@ -5,21 +5,18 @@
 import gevent
 import pytest
 from _platform_fleet import (
-    KEY,
     PlatformFleet,
     call,
     error_reason,
     event_ids,
     make_wire_config,
     read_answer,
+    render_call,
     stream_headers,
     wait_for,
 )
 
-from amaranthlug.transport.routing.http_client import (
-    HttpConnection,
-    render_request,
-)
+from amaranthlug.transport.routing.http_client import HttpConnection
 from amaranthlug_platform.records import SERVERS_TOPIC
 
 
@@ -247,13 +244,7 @@
         server.events, server.event_s = 200, 0.05
     node = fleet.nodes[0]
     connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
-    headers = [
-        ("Host", "svc.example"),
-        ("Attempt-Id", "leaver"),
-        ("Authorization", f"Bearer {KEY}"),
-        *stream_headers(),
-    ]
-    connection.send(render_request("GET", "/stream/x", headers, b""), 1.0)
+    connection.send(render_call("/stream/x", "leaver", stream_headers()), 1.0)
     connection.read_head(2.0)
     connection.close()
     wait_for(lambda: sum(s.cancelled_runs for s in fleet.servers) == 1, 0.5)
@@ -319,12 +310,7 @@
     connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
     data = b""
     for number in range(3):
-        headers = [
-            ("Host", "svc.example"),
-            ("Attempt-Id", f"p{number}"),
-            ("Authorization", f"Bearer {KEY}"),
-        ]
-        data += render_request("GET", f"/safe/{number}", headers, b"")
+        data += render_call(f"/safe/{number}", f"p{number}")
     connection.send(data, 1.0)
     for number in range(3):
         answer = read_answer(connection)
@@ -436,12 +422,7 @@
     """A keep-alive connection must not bring a request to a stopping node."""
     node, listeners = fleet.nodes[0], fleet.listeners[0]
     connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
-    headers = [
-        ("Host", "svc.example"),
-        ("Attempt-Id", "kept"),
-        ("Authorization", f"Bearer {KEY}"),
-    ]
-    connection.send(render_request("GET", "/safe/x", headers, b""), 1.0)
+    connection.send(render_call("/safe/x", "kept"), 1.0)
     assert read_answer(connection).status == 200
     assert connection.is_open_and_idle()
     listeners.callers.stop_accepting()
@@ -454,12 +435,7 @@
     """A node that counts no active request ends its process."""
     node, listeners = fleet.nodes[0], fleet.listeners[0]
     connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
-    headers = [
-        ("Host", "svc.example"),
-        ("Attempt-Id", "kept"),
-        ("Authorization", f"Bearer {KEY}"),
-    ]
-    request = render_request("GET", "/safe/x", headers, b"")
+    request = render_call("/safe/x", "kept")
     connection.send(request, 1.0)
     assert read_answer(connection).status == 200
     wait_for(lambda: listeners.count_active_requests() == 0, 1.0)
@@ -473,12 +449,7 @@
     """The process must not end between reading and answering a request."""
     node, listeners = fleet.nodes[0], fleet.listeners[0]
     connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
-    headers = [
-        ("Host", "svc.example"),
-        ("Attempt-Id", "halfway"),
-        ("Authorization", f"Bearer {KEY}"),
-    ]
-    data = render_request("GET", "/safe/x", headers, b"")
+    data = render_call("/safe/x", "halfway")
     connection.send(data[:40], 1.0)
     wait_for(lambda: listeners.count_active_requests() == 1, 1.0)
     listeners.start_draining()
@@ -496,13 +467,9 @@
     try:
         node, listeners = fleet.nodes[0], fleet.listeners[0]
         connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
-        headers = [
-            ("Host", "svc.example"),
-            ("Attempt-Id", "early"),
-            ("Authorization", f"Bearer {KEY}"),
-            *stream_headers(),
-        ]
-        connection.send(render_request("GET", "/stream/x", headers, b""), 1.0)
+        connection.send(
+            render_call("/stream/x", "early", stream_headers()), 1.0
+        )
         wait_for(lambda: sum(s.runs["early"] for s in fleet.servers) == 1)
         gevent.sleep(0.1)
         listeners.start_draining()
@@ -522,12 +489,7 @@
         server.faults.delay_s = 0.2
     connection = HttpConnection.open(node.settings.addresses.callers, 1.0)
     wait_for(lambda: len(listeners.callers.idle) == 1, 1.0)
-    headers = [
-        ("Host", "svc.example"),
-        ("Attempt-Id", "crossing"),
-        ("Authorization", f"Bearer {KEY}"),
-    ]
-    connection.send(render_request("GET", "/safe/x", headers, b""), 1.0)
+    connection.send(render_call("/safe/x", "crossing"), 1.0)
     listeners.callers.stop_accepting()
     assert read_answer(connection).status == 200
 
