Collect the facts of several suspects in one place

Cause: the report and the notices each looked up facts and left out those that had expired. No behaviour changes; the tests of suspects pass unchanged.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_suspects.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_suspects.py
@@ -181,8 +181,7 @@
         self, digests: list[str], receivers: list[NodeEntry], pass_on: bool
     ) -> None:
         """Sends facts to nodes without waiting for them."""
-        known = (self.table.fact(digest) for digest in digests)
-        notice = SuspectNotice([f for f in known if f is not None], pass_on)
+        notice = SuspectNotice(self.table.facts(digests), pass_on)
         for entry in receivers:
             gevent.spawn(self.send_to, entry, notice)
 
--- a/packages/amaranthlug/src/amaranthlug/state/suspects.py
+++ b/packages/amaranthlug/src/amaranthlug/state/suspects.py
@@ -154,8 +154,12 @@
             key=self.uncleared_crashes,
             reverse=True,
         )
-        facts = (self.fact(digest) for digest in chosen[:most])
-        return [fact for fact in facts if fact is not None]
+        return self.facts(chosen[:most])
+
+    def facts(self, digests: list[str]) -> list[SuspectFact]:
+        """Returns all that is known of those of `digests` that are suspects."""
+        found = (self.fact(digest) for digest in digests)
+        return [fact for fact in found if fact is not None]
 
 
 def merge_facts(parts: Iterable[list[SuspectFact]]) -> list[SuspectFact]:
