Read the reports once after the store returned

Cause: the read before a node's first report also took place at the first report after each return of the store, directly before the usual read of the same topic: one call more for each node that reads the store. It is only for a node that has read no report yet.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -155,7 +155,7 @@
         """
         if not self.follower.breaker.is_closed():
             return
-        if self.follower.position is None:
+        if not self.follower.has_data():
             self.follower.read_once()
         self.publish()
         self.follower.read_once()
