Give each periodic task of a node a callback of its own

Cause: the one that drops the state of departed servers had come to drop suspects and to update gauges of the store as well. Three subscriptions of the timer service with the same period take its place. No behaviour changes.

--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -86,7 +86,8 @@
 ROLLOUT_PERIOD_S = 0.3
 """Period of the checks for due roll-out phases, in seconds."""
 PRUNE_PERIOD_S = 1.0
-"""Period at which state of departed servers is dropped, in seconds."""
+"""Period at which outdated state is dropped and gauges are updated, in
+seconds."""
 KEY_WITHDRAWAL_MARGIN_S = 0.4
 """Time before the bound on key withdrawal at which unconfirmed keys are no
 longer accepted, in seconds; covers the time from the check until the request
@@ -300,7 +301,12 @@
             follower.start()
         self.timers.every("report", REPORT_PERIOD_S, self.sync_fleet)
         self.timers.every("rollouts", ROLLOUT_PERIOD_S, self.advance_rollouts)
-        self.timers.every("tidy", PRUNE_PERIOD_S, self.prune_departed_servers)
+        for name, callback in (
+            ("tidy", self.prune_departed_servers),
+            ("suspects", self.suspects.table.drop_expired),
+            ("losses", self.report_losses),
+        ):
+            self.timers.every(name, PRUNE_PERIOD_S, callback)
         gevent.spawn(self.join_fleet)
         log.info(
             "node %s started",
@@ -357,16 +363,15 @@
                 self.session_owners.hand_over()
 
     def prune_departed_servers(self) -> None:
-        """Drops what is kept of servers that are gone, and old suspects.
-
-        Also updates the gauges of what the store has lost.
-        """
+        """Drops health, queues and connections of servers that are gone."""
         listed = [known.entry for known in self.servers.known.values()]
         self.health.keep_only(listed)
         instance_keys = {entry.instance_key for entry in listed}
         self.queues.keep_only(instance_keys)
         self.upstreams.prune(instance_keys)
-        self.suspects.table.drop_expired()
+
+    def report_losses(self) -> None:
+        """Updates the gauges of what the store has lost."""
         self.metrics.gauge(
             "store_records_lost",
             sum(follower.lost_records for follower in self.followers),
