--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/crash_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/crash_watch.py
@@ -140,6 +140,16 @@
             self.record_end(server, request)
             self.blame_dropped(server.instance_name)
         else:
+            log.info(
+                "server %s has not ended as far as its VM tells, though an "
+                "answer broke",
+                server.server_id,
+                extra={
+                    "event": "server_in_doubt",
+                    "server": server.server_id,
+                    "request_id": request.request_id,
+                },
+            )
             self.record_dropped(server, request)
 
     def record_end(self, server: ServerEntry, request: SuspectRequest) -> None:
--- a/test/test_crash_watch.py
+++ b/test/test_crash_watch.py
@@ -73,6 +73,15 @@
     assert crashes_of(watch, "pool/a") == {SERVER.instance_name}
 
 
+def test_line_names_a_server_of_which_the_end_is_not_known(watch, caplog):
+    """Else nothing tells why no request is suspected after answers broke."""
+    caplog.set_level("INFO")
+    watch.check(SERVER, make_subjects("a", "own"))
+    [line] = caplog.records
+    assert line.event == "server_in_doubt"
+    assert line.server == SERVER.server_id
+
+
 def test_last_part_of_a_prompt_is_not_suspected(watch):
     """It belongs to the request itself."""
     watch.port.ended.add(SERVER.instance_key)
