Reproduce crashes that are not recognised behind a path that accepts

What callers see: where something accepts connections for servers that ended, one part of a prompt, or one request, goes on ending servers.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fault_proxy.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fault_proxy.py
@@ -12,6 +12,7 @@
 """
 
 import dataclasses
+import time
 from typing import Any
 
 import falcon
@@ -41,6 +42,11 @@
 BLOCK_BYTES = 65_536
 THROTTLE_PERIOD_S = 0.05
 CONNECT_TIMEOUT_S = 3.0
+HOLD_S = 10.0
+"""Longest time for which a connection to a target that is down is held, in
+seconds."""
+HOLD_POLL_S = 0.05
+"""Period in which a held connection tries the target again, in seconds."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -132,7 +138,12 @@
 
 
 class Link:
-    """A listening address with the faults of its source and destination."""
+    """A listening address with the faults of its source and destination.
+
+    Attributes:
+        when_down: What becomes of a new connection while the target accepts
+            none: `reset`, `close`, or `hold` until the target accepts again.
+    """
 
     def __init__(
         self, proxy: "FaultProxy", source: str, destination: str, target: str
@@ -145,6 +156,7 @@
         self.target = (host, int(port))
         self.rule = NO_FAULT
         self.rule_changed = gevent.event.Event()
+        self.when_down = "reset"
         self.draws = 0
         self.connections: set[Connection] = set()
         self.server = StreamServer(
@@ -197,12 +209,12 @@
         if self.rule.refuse:
             reset_socket(source_sock)
             return
-        try:
-            destination_sock = socket.create_connection(
-                self.target, CONNECT_TIMEOUT_S
-            )
-        except OSError:
-            reset_socket(source_sock)
+        destination_sock = self.connect_target()
+        if destination_sock is None:
+            if self.when_down == "reset":
+                reset_socket(source_sock)
+            else:
+                source_sock.close()
             return
         destination_sock.settimeout(None)
         for sock in (source_sock, destination_sock):
@@ -215,6 +227,18 @@
             self.connections.discard(connection)
             destination_sock.close()
 
+    def connect_target(self) -> Any:
+        """Connects to the target, None if it accepts no connection."""
+        give_up_at = time.monotonic() + HOLD_S
+        while True:
+            try:
+                return socket.create_connection(self.target, CONNECT_TIMEOUT_S)
+            except OSError:
+                held = self.when_down == "hold"
+                if not held or time.monotonic() >= give_up_at:
+                    return None
+            gevent.sleep(HOLD_POLL_S)
+
     def break_open(self) -> None:
         """Resets the connections that are open."""
         for connection in list(self.connections):
--- a/test/_crash_fleet.py
+++ b/test/_crash_fleet.py
@@ -3,16 +3,34 @@
 import dataclasses
 import itertools
 import time
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import gevent
 from _platform_fleet import Answer, PlatformFleet, stream_headers, wait_for
 
+from amaranthlug_platform_standins.server import ServerFaults
+
 CRASHING_PART = "bad"
 SHARED_PARTS = ("sys", "doc")
 """Parts that crashing and sound requests share."""
 CALL_PERIOD_S = 0.05
 """Time between two requests, in seconds."""
 
+DEAD_SERVERS = {
+    "resets": {"path_when_down": "reset", "restart_s": 0.6},
+    "closes": {"path_when_down": "close", "restart_s": 0.6},
+    "holds": {"path_when_down": "hold", "restart_s": 0.6},
+    "starts-at-once": {"path_when_down": "hold", "restart_s": 0.0},
+    "another-id-at-once": {
+        "path_when_down": "hold",
+        "restart_s": 0.0,
+        "new_id": True,
+    },
+}
+"""What the path to a server does with connections while the server is down,
+and when the server starts again."""
+
 
 @dataclasses.dataclass
 class SentCall:
@@ -38,12 +56,25 @@
     """Callers that mix sound requests and such with a crashing part."""
 
     def __init__(
-        self, nodes: int, servers: int, position: int = 1, **server: object
+        self,
+        nodes: int,
+        servers: int,
+        position: int = 1,
+        faults: Mapping[str, object] = MappingProxyType({}),
+        **fleet: object,
     ):
-        """Starts the fleet; the crashing part is at `position` in prompts."""
-        self.fleet = PlatformFleet(nodes, servers, **server)
+        """Starts the fleet.
+
+        Args:
+            nodes: Number of nodes.
+            servers: Number of servers.
+            position: Position of the crashing part in prompts.
+            faults: Further fields of `ServerFaults`.
+            **fleet: Further arguments of `PlatformFleet`.
+        """
+        self.fleet = PlatformFleet(nodes, servers, **fleet)
         for each in self.fleet.servers:
-            each.faults.crash_on_part = CRASHING_PART
+            each.faults = ServerFaults(crash_on_part=CRASHING_PART, **faults)
         crashing = list(SHARED_PARTS)
         crashing.insert(position, CRASHING_PART)
         self.parts = {True: tuple(crashing), False: SHARED_PARTS}
--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -26,6 +26,7 @@
     make_route,
 )
 from amaranthlug_platform_standins.store import StoreStandIn
+from amaranthlug_standins.fault_proxy import FaultProxy
 
 KEY = "key-1"
 
@@ -111,18 +112,36 @@
 class PlatformFleet:
     """Store, servers and nodes over loopback."""
 
-    def __init__(self, nodes: int = 1, servers: int = 2, lines=None, **server):
-        """Starts the fleet and waits until the nodes are ready."""
+    def __init__(
+        self,
+        nodes: int = 1,
+        servers: int = 2,
+        lines=None,
+        behind_proxy: bool = False,
+        **server,
+    ):
+        """Starts the fleet and waits until the nodes are ready.
+
+        Args:
+            nodes: Number of nodes.
+            servers: Number of servers.
+            lines: Receives the log lines of requests.
+            behind_proxy: Nodes reach the servers through a proxy.
+            **server: Arguments of `ServerStandIn`.
+        """
         addresses = find_free_addresses(1 + servers)
         self.store = StoreStandIn(addresses.pop())
         self.store.start()
         self.store.put(OPERATOR_TOPIC, "config", make_wire_config())
         self.servers = [
-            ServerStandIn(
-                self.store, addresses[i], f"s{i}", "pool", **server
-            ).start()
+            ServerStandIn(self.store, addresses[i], f"s{i}", "pool", **server)
             for i in range(servers)
         ]
+        self.proxy = FaultProxy.from_config()
+        for each in self.servers:
+            if behind_proxy:
+                each.lead_through(self.proxy)
+            each.start()
         self.lines = lines or RequestLog()
         self.nodes: list[RoutedNode] = []
         self.listeners: list[NodeListeners] = []
@@ -200,6 +219,8 @@
                 server.pool.kill(block=False)
         for server in self.servers:
             server.crash()
+        for link in self.proxy.links.values():
+            link.stop()
         self.store.stop()
 
     def configure(self, config: dict) -> None:
--- a/test/test_crashing_parts.py
+++ b/test/test_crashing_parts.py
@@ -2,7 +2,7 @@
 
 import gevent
 import pytest
-from _crash_fleet import PartCrashFleet
+from _crash_fleet import DEAD_SERVERS, PartCrashFleet
 from _platform_fleet import error_reason
 
 NODES = 4
@@ -52,6 +52,27 @@
         crash.fleet.stop()
 
 
+# Guards against issue 33: where something accepted connections for servers that
+# had ended, no end was recognised, and requests with a crashing part were sent
+# to server after server.
+@pytest.mark.parametrize("how", DEAD_SERVERS)
+@pytest.mark.parametrize("confidence", [100, 0])
+def test_crashing_part_is_found_where_a_path_accepts_for_dead_servers(
+    how, confidence
+):
+    """Also where the node drops the answer that crashes its server."""
+    crash = start_fleet(
+        faults=DEAD_SERVERS[how],
+        behind_proxy=True,
+        confidence={"small": confidence, "middle": 100, "large": 100},
+    )
+    try:
+        crash.run_for(8.0, 3)
+        check_only_the_part_is_blocked(crash)
+    finally:
+        crash.fleet.stop()
+
+
 def test_refusal_names_the_part_and_the_time_to_come_back():
     """It was not run; the line of the request names the part as well."""
     crash = start_fleet()
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+from _crash_fleet import DEAD_SERVERS
 from _platform_fleet import (
     PlatformFleet,
     error_reason,
@@ -18,6 +19,7 @@
 from amaranthlug.transport.routing.http_client import HttpConnection
 from amaranthlug.transport.routing.upstreams import UpstreamPool
 from amaranthlug_platform.headers import PlatformHeaders
+from amaranthlug_platform_standins.server import ServerFaults
 from amaranthlug_platform_standins.soak_fleet import find_free_addresses
 
 NODES = 4
@@ -25,6 +27,8 @@
 REPETITIONS = 8
 ALLOWED_CRASHES = 3
 """Servers that may end under a request before no other one gets it."""
+NOTICE_S = 0.3
+"""Time after which a notice has reached the other nodes, in seconds."""
 NEWS_LIMIT_S = 2.0
 """Longest time until a node knows what the others do, in seconds."""
 CRASHING_REQUESTS = pytest.mark.parametrize(
@@ -41,9 +45,11 @@
 class CrashFleet:
     """Nodes before servers that one request crashes."""
 
-    def __init__(self):
-        """Starts nodes and servers."""
-        self.fleet = PlatformFleet(NODES, SERVERS, events=1, event_s=0.0)
+    def __init__(self, **fleet):
+        """Starts nodes and servers; `fleet` are options of the fleet."""
+        self.fleet = PlatformFleet(
+            NODES, SERVERS, events=1, event_s=0.0, **fleet
+        )
         self.requests = 0
         self.crash_on("/safe/bad")
 
@@ -119,6 +125,29 @@
     assert crash.crashes(target) == ALLOWED_CRASHES
 
 
+# Guards against issue 33: where something accepted connections for servers that
+# had ended, no end was recognised, and a crashing request was sent to server
+# after server.
+@pytest.mark.parametrize("how", DEAD_SERVERS)
+@CRASHING_REQUESTS
+def test_crashing_request_is_found_where_a_path_accepts_for_dead_servers(
+    how, target, method, headers
+):
+    """The third server that ends under it is the last one of the fleet."""
+    crash = CrashFleet(behind_proxy=True)
+    try:
+        for server in crash.fleet.servers:
+            server.faults = ServerFaults(**DEAD_SERVERS[how])
+        crash.crash_on(target)
+        for number in range(REPETITIONS):
+            crash.fleet.wait_until_up()
+            gevent.sleep(NOTICE_S)
+            crash.send(target, number % NODES, method=method, headers=headers)
+        assert crash.crashes(target) == ALLOWED_CRASHES
+    finally:
+        crash.fleet.stop()
+
+
 # Guards against issue 24 where an engine ends in the middle of its stream.
 def test_stream_that_crashes_after_its_first_event_is_blocked(crash):
     """Engines begin to answer before they crash."""
