Pass on notices whose facts a report told the relay before

What callers saw: up to a second after a request was blocked at the other nodes, one node still sent it to a server.

Cause: a relay passed on only what was new to itself. Its members report to it about once a second, and a report that came in the 20 ms in which the notice was collected made the facts known there, so the notice was passed to nobody; the other members learned of them with their next exchange.

The relay now remembers what it passed on of each suspect and passes on what differs. The new test fails before (a member does not know the block) and holds the number of messages: the same notice again is not passed on again.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_suspects.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_suspects.py
@@ -20,7 +20,7 @@
 from amaranthlug.state.attribution import Crashes, explain
 from amaranthlug.state.recent_names import RecentNames
 from amaranthlug.state.routing.fleet import NodeEntry
-from amaranthlug.state.suspects import SuspectFact, SuspectTable
+from amaranthlug.state.suspects import FactSize, SuspectFact, SuspectTable
 
 CRASHES_TO_BLOCK = 3
 """Servers that may end under a request before no further one gets it."""
@@ -108,6 +108,7 @@
         self.table = SuspectTable(clock, CRASHES_TO_BLOCK)
         self.receive_crash: Callable[[str], None] | None = None
         self.unsent: set[str] = set()
+        self.passed_on: dict[str, FactSize] = {}
         self.candidates: set[str] = set()
         self.blocked: dict[str, Crashes] = {}
         self.sound_parts = RecentNames(clock, SOUND_S, MAX_SOUND_PARTS)
@@ -166,6 +167,8 @@
         self.update_blocked()
         self.table.drop_expired()
         self.candidates.intersection_update(self.table.suspects)
+        for digest in self.passed_on.keys() - self.table.suspects.keys():
+            del self.passed_on[digest]
         self.metrics.gauge("suspects.known", len(self.table))
         self.metrics.gauge("suspects.blocked_now", len(self.blocked))
 
@@ -174,12 +177,29 @@
         return self.table.recent_facts(REPORT_RECENT_S, MAX_REPORTED)
 
     def receive(self, notice: SuspectNotice) -> NoticeAnswer:
-        """Takes a notice of another node and passes on what is new."""
-        new_digests = self.merge(notice.facts)
-        if notice.pass_on and new_digests:
-            self.send(new_digests, self.member_entries(), pass_on=False)
+        """Takes a notice of another node and passes on what is new to others.
+
+        A report of the sender may have been faster, so that is not what is new
+        to this node.
+        """
+        self.merge(notice.facts)
+        if notice.pass_on:
+            unpassed = [
+                fact.digest
+                for fact in notice.facts
+                if self.passed_on.get(fact.digest)
+                != self.table.size(fact.digest)
+            ]
+            if unpassed:
+                self.pass_on(unpassed)
         return NoticeAnswer()
 
+    def pass_on(self, digests: list[str]) -> None:
+        """Sends facts to the nodes for which this one reads."""
+        for digest in digests:
+            self.passed_on[digest] = self.table.size(digest)
+        self.send(digests, self.member_entries(), pass_on=False)
+
     def merge(self, facts: list[SuspectFact]) -> list[str]:
         """Adds facts; returns the digests of which something was new."""
         new_digests = [fact.digest for fact in facts if self.merge_one(fact)]
--- a/packages/amaranthlug/src/amaranthlug/state/suspects.py
+++ b/packages/amaranthlug/src/amaranthlug/state/suspects.py
@@ -15,6 +15,10 @@
 that all nodes keep the same ones."""
 
 
+FactSize = tuple[int, int, int]
+"""Numbers of crashes, of those cleared and of requests; they only rise."""
+
+
 @dataclasses.dataclass(frozen=True)
 class SuspectFact:
     """What nodes tell each other of a suspect.
@@ -54,7 +58,7 @@
     requests: set[str] = dataclasses.field(default_factory=set)
     depth: int | None = None
 
-    def size(self) -> tuple[int, int, int]:
+    def size(self) -> FactSize:
         """Returns a value that rises with each fact that is new."""
         return len(self.crashes), len(self.cleared), len(self.requests)
 
@@ -96,6 +100,11 @@
         """Returns the number of suspects that were not dropped."""
         return len(self.suspects)
 
+    def size(self, digest: str) -> FactSize:
+        """Returns how much is known of a suspect; zeros if nothing is."""
+        suspect = self.suspects.get(digest)
+        return suspect.size() if suspect else (0, 0, 0)
+
     def merge(self, fact: SuspectFact) -> bool:
         """Adds a fact; returns whether it was new."""
         if fact.age_s > SUSPICION_LIFETIME_S:
--- a/test/test_suspects.py
+++ b/test/test_suspects.py
@@ -250,6 +250,28 @@
     assert metrics.counts["suspects.notice_lost"] > 0
 
 
+# Guards against members that learned of a block about a second after the others,
+# since a report had told it to their relay before the notice came.
+def test_relay_passes_on_what_a_report_told_it_before_the_notice():
+    """It is new to the other members."""
+    fleet = SuspectFleet(30)
+    entry = next(
+        e for e in fleet.entries if len(fleet.views[e.node].members) > 2
+    )
+    relay = fleet.views[entry.node]
+    members = list(relay.members)
+    sender = fleet.parts[members[0]]
+    sender.merge([crash_fact("a", "b", "c")])
+    relay.update_member(fleet.views[members[0]].describe_node())
+    sender.send(["bad"], [entry], pass_on=True)
+    fleet.settle()
+    assert all(fleet.parts[name].is_blocked("bad") for name in members)
+    messages = fleet.messages
+    sender.send(["bad"], [entry], pass_on=True)
+    fleet.settle()
+    assert fleet.messages == messages + 1
+
+
 def test_member_and_relay_exchange_suspects():
     """Members do not read the store themselves."""
     fleet = SuspectFleet(2)
