Give up requests that wait at a server when they are blocked

What callers saw: servers that ended under a part after it was blocked, and with them the streams that ran there.

The attempt stays a possible cause of an end. A stream that has begun goes on: its progress clears a part that was blocked wrongly. Plain requests are not given up, they last about 45 ms.

--- a/test/_crash_mixes.py
+++ b/test/_crash_mixes.py
@@ -26,6 +26,8 @@
 PROGRESS_S = 0.5
 RESTART_S = 3.4
 MAX_ATTEMPTS = 3
+GIVE_UP_S = 0.05
+"""Mean time until a waiting attempt finds that it is blocked, in seconds."""
 END_S = 40.0
 """Length of a mix, in seconds."""
 FAULTS_FROM_S = 5.0
@@ -95,11 +97,14 @@
         elif not was_candidate:
             return
         found = {name: self.table.suspects[name] for name in self.candidates}
+        former = self.blocked
         self.blocked = explain(found, CRASHES_TO_BLOCK, self.sound_at)
         self.alternatives = {
             name: find_alternatives(name, crashes, found)
             for name, crashes in self.blocked.items()
         }
+        if self.blocked.keys() - former.keys():
+            self.mix.at(GIVE_UP_S, self.mix.give_up, self)
 
     def is_sound(self, part: str) -> bool:
         """Returns whether a part was answered here in the last 2 s."""
@@ -120,6 +125,7 @@
         lost_share: Share of notices that come only with the reports.
         is_part_crashing: False if servers end for another reason.
         faults_from_s: Time of the first crashing request, in seconds.
+        gives_up: Attempts that wait at a server are given up when blocked.
     """
 
     random: random.Random
@@ -132,10 +138,12 @@
     lost_share: float
     is_part_crashing: bool
     faults_from_s: float = FAULTS_FROM_S
+    gives_up: bool = True
     now: float = 0.0
     arrivals_after_fifth: int = 0
     sent_sound: int = 0
     refused_sound: int = 0
+    given_up_sound: int = 0
 
     @classmethod
     def draw(
@@ -230,7 +238,7 @@
                 settled_at = self.crashed_at[4] + CONTACT_S
                 self.arrivals_after_fifth += self.now > settled_at
             wait_s = started.began_at - self.now + CRASH_DELAY_S
-            self.at(wait_s, self.end, server, instance)
+            self.at(wait_s, self.crash, server, instance, started)
             return
         wait_s = started.began_at - self.now
         lasts_s = self.random.uniform(0.3, 6.0)
@@ -243,6 +251,23 @@
                 progress_s == lasts_s,
             )
 
+    def crash(self, server: int, instance: str, attempt: Attempt) -> None:
+        """Ends a server under an attempt that still runs there."""
+        if any(each is attempt for each in self.running[server]):
+            self.end(server, instance)
+
+    def give_up(self, node: Node) -> None:
+        """Gives up the blocked attempts of a node that wait at servers."""
+        for attempts in self.running if self.gives_up else ():
+            for attempt in list(attempts):
+                if (
+                    self.members[attempt.node] is node
+                    and attempt.began_at > self.now
+                    and node.blocked.keys() & {*attempt.parts, attempt.request}
+                ):
+                    attempts.remove(attempt)
+                    self.given_up_sound += not attempt.crashing
+
     def progress(self, server: int, attempt: Attempt, is_done: bool) -> None:
         """Records that a stream progressed, if its server still runs."""
         if not any(each is attempt for each in self.running[server]):
