Let requests that wait at a server run when they are blocked

Wrong blocks weigh more: they cost requests that were sound, and a block that is right stops the ends anyway.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/crash_watch.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/crash_watch.py
@@ -33,12 +33,7 @@
 UNDECIDED_S = 2.0
 """Time in which trials show whether a part was blocked wrongly, in seconds."""
 CRASH_KINDS = frozenset(
-    {
-        FailureKind.BROKEN,
-        FailureKind.WEAK,
-        FailureKind.TIMEOUT,
-        FailureKind.BLOCKED,
-    }
+    {FailureKind.BROKEN, FailureKind.WEAK, FailureKind.TIMEOUT}
 )
 """Failures of an attempt under which its server may end."""
 MAX_FAILED = 64
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -211,18 +211,6 @@
             self.tried_block = blocked
         return self.tried_block == blocked
 
-    def check_block(self) -> None:
-        """Checks that nothing blocks a request that waits at a server.
-
-        Raises:
-            UpstreamCallError: It is blocked and does not try the block.
-        """
-        blocked = self.blocked_subject()
-        if blocked is not None and blocked != self.tried_block:
-            raise UpstreamCallError(
-                FailureKind.BLOCKED, f"{blocked} ends servers"
-            )
-
     def blocked_subject(self) -> str | None:
         """Returns what of the request is blocked, None if it may be sent."""
         crashes = self.tools.crashes
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -141,7 +141,6 @@
 
     `WEAK` is an answer of low confidence that a larger model should replace.
     `REPLACED` is the refusal of another instance at the server's address.
-    `BLOCKED` is an attempt given up since its request is blocked now.
     """
 
     NOT_SENT = "not_sent"
@@ -151,7 +150,6 @@
     BROKEN = "broken"
     FAILED = "failed"
     WEAK = "weak"
-    BLOCKED = "blocked"
 
 
 class UpstreamCallError(Exception):
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -34,11 +34,6 @@
 STALL_TIMEOUT_S = 1.5
 """Pause within a stream after which it is resumed at another server that can
 take it, in seconds; callers give up after 2 s or more."""
-BLOCK_CHECK_S = 0.1
-"""Period in which a request that waits at a server checks whether it is blocked
-now, in seconds, while there are suspects."""
-GIVEN_UP = frozenset({FailureKind.WEAK, FailureKind.BLOCKED})
-"""Failures of attempts that the node gave up, not for a fault of the server."""
 MAX_ERROR_BYTES = 1 << 20
 """Largest body of an engine's error, in bytes."""
 LATE_OBJECTIVE_SHARE = 0.5
@@ -196,7 +191,7 @@
         """Records a failed attempt in the health of server and version."""
         if failure.kind is FailureKind.FAILED:
             self.record_result(server, bad=True)
-        elif failure.kind not in GIVEN_UP:
+        elif failure.kind is not FailureKind.WEAK:
             # A broken connection is a fault of the server, not of its version.
             self.tools.health.record_outcome(server, True)
 
@@ -320,18 +315,12 @@
         tools = self.tools
         started_at = tools.clock()
         while True:
-            period_s = (
-                BLOCK_CHECK_S
-                if tools.crashes.has_suspects()
-                else CHECK_PERIOD_S
-            )
-            timeout_s = min(period_s, self.answer_time_left_s())
+            timeout_s = min(CHECK_PERIOD_S, self.answer_time_left_s())
             try:
                 reply = sent.reply(max(timeout_s, 0.001))
             except TimeoutError:
                 timer.check()
                 self.check_time()
-                self.check_block()
                 silent_since = max(self.last_byte_at(server), started_at)
                 self.check_silence(server, silent_since, SILENCE_TIMEOUT_S)
                 continue
