Keep an answer open until the next server has not refused

What callers saw: 502 or a cut stream although the first server went on: a silent server was left for a reserved one that refused with 503, and an answer of low confidence was dropped for a larger model that was refused, with the attempts used up.

Cause: the open attempt was closed before the next one had been accepted; that one is reachable and responsive does not mean that it takes the request.

The node now sends the request to the reserved server while the former answer is open. A server that has neither refused nor broken off within 0.05 s has taken it; refusals come at once. Only then is the former connection closed, so that two servers work on a request for 0.1 s at the most (0.4 s are allowed); a new test holds this where the next one is silent as well. If it refuses, the former answer goes on.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -131,6 +131,21 @@
     trace: RequestTrace
 
 
+@dataclasses.dataclass
+class HandedCall:
+    """A request that was sent while the former server's answer was open.
+
+    Attributes:
+        sent: The call.
+        reply: Its answer, None if no head has arrived.
+        sent_at: Clock when it was sent, in seconds.
+    """
+
+    sent: SentCall
+    reply: UpstreamReply | None
+    sent_at: float
+
+
 class BaseExchange:
     """Sends a request to servers until one answers or no retry is allowed."""
 
@@ -154,6 +169,7 @@
         self.may_have_run = False
         self.retry_reserved = False
         self.successor: ServerEntry | None = None
+        self.handed: HandedCall | None = None
         self.tried_block: str | None = None
         self.began_at = 0.0
         self.made_progress = False
@@ -168,7 +184,9 @@
         Returns:
             Outcome and status, or the reply of the node itself.
         """
-        while self.may_pass_block() and self.may_attempt():
+        while self.handed is not None or (
+            self.may_pass_block() and self.may_attempt()
+        ):
             server = self.take_successor() or self.choose(
                 self.context.candidates()
             )
@@ -176,11 +194,13 @@
                 if self.attempts_sent == 0 and self.wait_for_server():
                     continue
                 break
-            if not self.context.may_send(self.context):
+            if self.handed is None and not self.context.may_send(self.context):
                 break
             self.tried.add(server.instance_key)
             self.made_progress = False
-            self.began_at = self.tools.clock()
+            self.began_at = (
+                self.handed.sent_at if self.handed else self.tools.clock()
+            )
             self.tools.record_session(
                 self.context.service_name, self.request.session, server.version
             )
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -1,11 +1,14 @@
 """Exchanges that are answered by a stream of events."""
 
+import gevent
+
 from amaranthlug.protocol.routing.event_splitter import EventSplitter
 from amaranthlug.protocol.routing.exchange import (
     CHECK_PERIOD_S,
     BaseExchange,
     ExchangeResult,
     ExchangeTools,
+    HandedCall,
     RequestContext,
     close_if_open,
 )
@@ -14,6 +17,7 @@
     FailureKind,
     ReplyHead,
     SentCall,
+    UpstreamCall,
     UpstreamCallError,
     UpstreamReply,
 )
@@ -39,6 +43,9 @@
 LATE_OBJECTIVE_SHARE = 0.5
 """Share of the objective after which a first event counts as late when
 versions are compared; the same limit applies to both versions."""
+HAND_OVER_S = 0.05
+"""Time in which a server refuses a request that it does not take, in seconds;
+more than ten round trips. Both servers may work on it for that long."""
 MIN_TIMED_EVENTS = 5
 """Fewest events of a stream whose time between events is recorded."""
 MIN_PROGRESS_S = 0.5
@@ -56,6 +63,10 @@
 at high load but gives fewer good answers at low load."""
 
 
+class SendTimeoutError(Exception):
+    """A request was not sent in time; the server has not received all of it."""
+
+
 class StreamExchange(BaseExchange):
     """Relays a stream and resumes it at another server when one fails."""
 
@@ -132,26 +143,23 @@
             UpstreamCallError: The stream broke or did not start.
         """
         tools = self.tools
-        started_at = tools.clock()
-        sent: SentCall | None = None
-        reply: UpstreamReply | None = None
+        handed, self.handed = self.handed, None
+        started_at = handed.sent_at if handed else tools.clock()
+        sent: SentCall | None = handed.sent if handed else None
+        reply: UpstreamReply | None = handed.reply if handed else None
         outcome = "caller_left"
         head_ms: float | None = None
         events = self.splitter.events
-        call = self.call_for(
-            server,
-            model=self.model,
-            urgency=self.urgency(server),
-            last_event=self.splitter.last_event,
-        )
+        call = self.call_to(server)
         tools.health.record_start(server)
         tokens = self.request.prompt_tokens
         ticket = tools.queues.record_send(server, call.model, tokens)
         timer = self.start_timer(server, call.model)
         try:
             self.splitter.discard_incomplete()
-            sent = self.open(call)
-            reply = self.wait_head(server, sent, timer)
+            sent = sent or self.open(call)
+            reply = reply or self.wait_head(server, sent, timer)
+            self.record_head(server, reply)
             head_ms = round((tools.clock() - started_at) * 1_000, 1)
             if reply.head.status < 300:
                 tools.queues.record_start(server, call.model, tokens, ticket)
@@ -212,24 +220,78 @@
             or not self.tools.budget.can_spend(
                 self.context.service_name, FAILURE_RESERVE
             )
-            or not self.may_drop_answer_of(server)
+            or not self.may_drop_answer_of(server, model_index)
         ):
             return
-        self.model_index = model_index
         raise UpstreamCallError(
             FailureKind.WEAK, f"confidence {head.confidence}"
         )
 
-    def may_drop_answer_of(self, server: ServerEntry) -> bool:
-        """Returns whether another attempt can follow; reserves a retry."""
+    def may_drop_answer_of(self, server: ServerEntry, model_index: int) -> bool:
+        """Returns whether a server has taken the request for a larger model."""
+        former = self.model_index
+        self.model_index = model_index
         self.tried.discard(server.instance_key)  # It may run other models.
         successor = self.find_successor()
         if successor is not None and self.reserve_retry():
             self.successor = successor
-            return True
+            if self.hand_over():
+                return True
         self.tried.add(server.instance_key)
+        self.model_index = former
         return False
 
+    def hand_over(self) -> bool:
+        """Sends the request to the reserved server; False if it refuses.
+
+        The former server's answer is kept open meanwhile, so that it can still
+        be used then. Refusals come at once; a server that has not refused
+        within `HAND_OVER_S` has taken the request.
+        """
+        server = self.take_successor()
+        if server is None:
+            return False
+        started_at = self.tools.clock()
+        sent: SentCall | None = None
+        reply: UpstreamReply | None = None
+        try:
+            with gevent.Timeout(HAND_OVER_S, SendTimeoutError):
+                sent = self.open(self.call_to(server))
+            try:
+                reply = sent.reply(HAND_OVER_S)
+                self.check_head(reply.head)
+            except TimeoutError:
+                pass  # It neither refused nor answered yet.
+        except (UpstreamCallError, SendTimeoutError) as error:
+            close_if_open(reply or sent)
+            failure = (
+                error
+                if isinstance(error, UpstreamCallError)
+                else UpstreamCallError(FailureKind.NOT_SENT, "sending was slow")
+            )
+            self.tried.add(server.instance_key)
+            self.record_failure(server, failure)
+            self.tools.crashes.record_failure(
+                server, self.subjects, failure.kind, started_at
+            )
+            self.record_attempt(server, started_at, failure.kind.value)
+            return False
+        except BaseException:
+            close_if_open(reply or sent)
+            raise
+        self.handed = HandedCall(sent, reply, started_at)
+        self.successor = server
+        return True
+
+    def call_to(self, server: ServerEntry) -> UpstreamCall:
+        """Returns the call that goes on with the stream at a server."""
+        return self.call_for(
+            server,
+            model=self.model,
+            urgency=self.urgency(server),
+            last_event=self.splitter.last_event,
+        )
+
     def has_time_for(self, model_index: int) -> bool:
         """Returns whether a larger model's first event is expected in time.
 
@@ -324,11 +386,14 @@
                 silent_since = max(self.last_byte_at(server), started_at)
                 self.check_silence(server, silent_since, SILENCE_TIMEOUT_S)
                 continue
-            if reply.head.status != 421:
-                self.record_byte(server)
-            tools.health.record_load(server, reply.head.load)
             return reply
 
+    def record_head(self, server: ServerEntry, reply: UpstreamReply) -> None:
+        """Records that a server has sent the head of its answer."""
+        if reply.head.status != 421:
+            self.record_byte(server)
+        self.tools.health.record_load(server, reply.head.load)
+
     def check_silence(
         self, server: ServerEntry, silent_since: float, limit_s: float
     ) -> None:
@@ -350,7 +415,7 @@
             message = "server is unreachable"
         else:
             return
-        if self.may_leave(server):
+        if self.may_leave(server) and self.hand_over():
             raise UpstreamCallError(FailureKind.TIMEOUT, message)
 
     def is_unreachable(self, server: ServerEntry, silent_since: float) -> bool:
--- a/test/test_silent_servers.py
+++ b/test/test_silent_servers.py
@@ -26,6 +26,8 @@
 MOMENTS = pytest.mark.parametrize(
     "silent_after", [BEFORE_HEAD, MID_STREAM], ids=["head", "middle"]
 )
+MAX_BOTH_S = 0.4
+"""Longest time for which two servers may work on a stream, in seconds."""
 ALL_EVENTS = [1, 2, 3, 4, 5]
 
 
@@ -267,6 +269,21 @@
     assert_complete(request.get())
 
 
+# Guards against two servers that work on one stream for long: the one that was
+# left is told so once the next one has not refused.
+@MOMENTS
+def test_silent_server_ends_its_work_soon_after_the_next_one_began(
+    fleet, silent_after
+):
+    """The next one is silent as well."""
+    silence(fleet.servers, silent_after, silent_s=8.0)
+    request = gevent.spawn(stream, fleet)
+    wait_for(lambda: fleet.runs("id-1") == 2)
+    gevent.sleep(MAX_BOTH_S)
+    assert sum(server.cancelled_runs for server in fleet.servers) == 1
+    request.kill()
+
+
 # Guards against a request that never left a silent server, since the server
 # that was preferred as its successor had ended and was checked each time.
 @pytest.mark.parametrize("target", ["/stream/x", "/safe/x"])
