Check the paths to ended servers once a second

Cause: an instance that was taken for ended got no request until its path was open, and the path was checked after 1, 2, 4 and 8 s. A cut between a node and the servers may refuse connections, too; after it the node was without servers for up to 8 s. Before the signs of an end there was no such rest. Found in reading, before any landing. The checks come once a second now, for as long as the entry is listed. The second test is for an entry that is back before its server is followed (KeyError in the background). Both fail before.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/server_ends.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/server_ends.py
@@ -11,11 +11,7 @@
 from amaranthlug.coordination.boot_clock import boot_seconds
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.protocol.routing.messages import PathState, ServerPort
-from amaranthlug.protocol.routing.server_health import (
-    INITIAL_BACKOFF_S,
-    MAX_BACKOFF_S,
-    ServerHealthTracker,
-)
+from amaranthlug.protocol.routing.server_health import ServerHealthTracker
 from amaranthlug.state.routing.server_ends import EndSign
 from amaranthlug.state.routing.servers import ServerEntry
 
@@ -31,6 +27,9 @@
 RELISTING_S = 1.0
 """Time in which the entry of an instance that started again under the same id
 is read, in seconds."""
+REST_CHECK_S = 1.0
+"""Period in which the path to an ended instance is checked, in seconds. A cut
+between this node and all servers may refuse connections as well."""
 MAX_KNOWN = 1_000
 """Most ended instances that are remembered; the oldest ones are dropped."""
 
@@ -195,10 +194,13 @@
 
     def rest(self, server: ServerEntry) -> None:
         """Follows an ended instance until its entry is gone or it answers."""
-        pause_s = 0.0
         name = server.instance_name
-        end = self.known[name]
-        while self.listing.is_listed(server) and self.known.get(name) is end:
+        end = self.known.get(name)
+        while (
+            end is not None
+            and self.known.get(name) is end
+            and self.listing.is_listed(server)
+        ):
             if self.has_answered_since(server, end.known_at):
                 self.record_life(server)
                 return
@@ -207,8 +209,7 @@
                 self.health.record_gone(server)
             elif state is PathState.OPEN:
                 self.health.record_reachable(server)
-            pause_s = min(MAX_BACKOFF_S, max(INITIAL_BACKOFF_S, 2 * pause_s))
-            gevent.sleep(pause_s)
+            gevent.sleep(REST_CHECK_S)
 
     def has_answered_since(self, server: ServerEntry, ended_at: float) -> bool:
         """Returns whether an instance has sent data since its end."""
--- a/test/test_server_ends.py
+++ b/test/test_server_ends.py
@@ -15,6 +15,7 @@
     CHECK_DELAYS_S,
     LIFE_S,
     RELISTING_S,
+    REST_CHECK_S,
 )
 from amaranthlug.state.routing.server_ends import EndSign
 from amaranthlug.state.routing.servers import ServerState
@@ -77,6 +78,26 @@
     assert ends.health.is_bad(ends.health.get_or_create(SERVER))
 
 
+# Guards against a node without servers for up to 8 s after a cut between it and
+# all of them, in which connections were refused.
+def test_server_that_was_cut_off_for_seconds_is_used_again_soon(ends):
+    """Its path is checked all the while."""
+    assert check(ends, PathState.REFUSED) is EndSign.REFUSED
+    gevent.sleep(3.2)
+    assert ends.health.is_gone(SERVER)
+    ends.port.states[SERVER.instance_key] = PathState.OPEN
+    gevent.sleep(REST_CHECK_S + 0.1)
+    assert not ends.health.is_gone(SERVER)
+
+
+def test_entry_that_is_back_before_its_server_is_followed(ends):
+    """Nothing is left to follow."""
+    ends.record_departure(SERVER, EndSign.REMOVED)
+    ends.record_return(SERVER)
+    ends.rest(SERVER)
+    assert not ends.known
+
+
 def test_end_that_another_node_reports_is_checked(ends):
     """A wrong report takes no server from this node."""
     ends.record_reported(SERVER.instance_name)
