Simplify what the ends of servers and the hand-over added

- Three methods of ServerEnds each checked whether an end was known, added it and followed the server; a reported end is recorded like one from the entries, and the addition tells whether it was new.
- A server that a check had just found ended was checked again in the same moment, one connection more for each end.
- The hand-over had an exception of its own for a slow send and turned it into an UpstreamCallError at once; gevent raises that one itself now.

No bound, assertion or decision is changed. The tests of the modules, of the path, of silent servers and of crashing requests pass.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
@@ -263,20 +263,23 @@
 
     def is_usable(self, entry: ServerEntry) -> bool:
         """Returns whether this server instance may still receive requests."""
-        known = self.known.get(entry.server_id)
+        known = self.find_known(entry)
         return (
             known is not None
-            and known.entry.instance_key == entry.instance_key
             and known.entry.state is ServerState.READY
             and (known.drop_at is None or known.drop_at > self.clock())
         )
 
     def is_listed(self, entry: ServerEntry) -> bool:
         """Returns whether this server instance is registered."""
+        return self.find_known(entry) is not None
+
+    def find_known(self, entry: ServerEntry) -> KnownServer | None:
+        """Returns what is known of an instance, None if it is not listed."""
         known = self.known.get(entry.server_id)
-        return (
-            known is not None and known.entry.instance_key == entry.instance_key
-        )
+        if known is None or known.entry.instance_key != entry.instance_key:
+            return None
+        return known
 
     def find_instance(self, name: str) -> ServerEntry | None:
         """Returns the entry of an instance, None if it is not registered."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/block_trials.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/block_trials.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable, Collection
+import math
+from collections.abc import Callable
 
 from amaranthlug.coordination.boot_clock import boot_seconds
 from amaranthlug.coordination.platform import Metrics
@@ -33,7 +34,7 @@
 
     blocked_at: float
     count: int = 0
-    last_at: float = -FIRST_TRIAL_S
+    last_at: float = -math.inf
 
 
 class BlockTrials:
@@ -73,9 +74,8 @@
         for ended in self.trials.keys() - self.suspects.blocked.keys():
             del self.trials[ended]
         trial = self.trials.setdefault(part, BlockTrial(now))
-        held = {*subjects.parts, subjects.digest}
         if not self.is_due(
-            trial, self.separates(part, held)
+            trial, self.separates(part, subjects)
         ) or not self.suspects.is_drawn_for(part):
             return False
         trial.count += 1
@@ -93,9 +93,10 @@
         )
         return True
 
-    def separates(self, part: str, held: Collection[str]) -> bool:
+    def separates(self, part: str, subjects: RequestSubjects) -> bool:
         """Returns whether a request lacks another possible cause."""
-        return not self.suspects.alternatives.get(part, set()) <= set(held)
+        held = {*subjects.parts, subjects.digest}
+        return not self.suspects.alternatives.get(part, set()) <= held
 
     def is_due(self, trial: BlockTrial, separates: bool) -> bool:
         """Returns whether it is time for a trial."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/server_ends.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/server_ends.py
@@ -148,9 +148,8 @@
         )
 
     def record_departure(self, server: ServerEntry, sign: EndSign) -> None:
-        """Records an instance whose entry was removed or replaced."""
-        if server.instance_name not in self.known:
-            self.add(server.instance_name, sign)
+        """Records an instance that ended as far as others tell."""
+        if self.add(server.instance_name, sign):
             gevent.spawn(self.rest, server)
 
     def record_return(self, server: ServerEntry) -> None:
@@ -166,20 +165,20 @@
         server = self.listing.find_instance(name)
         if server is None:
             self.receive_end(name)  # Its end is known from its entry.
-            return
-        self.add(name, EndSign.REPORTED)
-        gevent.spawn(self.rest, server)
+        else:
+            self.record_departure(server, EndSign.REPORTED)
 
     def record_end(self, server: ServerEntry, sign: EndSign) -> None:
         """Records that an instance ended; it gets no requests for a while."""
-        if server.instance_name in self.known:
-            return
-        self.health.record_gone(server)
-        self.add(server.instance_name, sign)
-        gevent.spawn(self.rest, server)
+        if self.add(server.instance_name, sign):
+            self.health.record_gone(server)
+            # Its path has just been checked.
+            gevent.spawn_later(REST_CHECK_S, self.rest, server)
 
-    def add(self, name: str, sign: EndSign) -> None:
-        """Adds an end."""
+    def add(self, name: str, sign: EndSign) -> bool:
+        """Adds an end; returns whether it was new."""
+        if name in self.known:
+            return False
         self.known[name] = KnownEnd(sign, self.clock())
         if len(self.known) > MAX_KNOWN:
             self.known.popitem(last=False)
@@ -191,6 +190,7 @@
             extra={"event": "instance_ended", "instance": name},
         )
         self.receive_end(name)
+        return True
 
     def rest(self, server: ServerEntry) -> None:
         """Follows an ended instance until its entry is gone or it answers."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -63,10 +63,6 @@
 at high load but gives fewer good answers at low load."""
 
 
-class SendTimeoutError(Exception):
-    """A request was not sent in time; the server has not received all of it."""
-
-
 class StreamExchange(BaseExchange):
     """Relays a stream and resumes it at another server when one fails."""
 
@@ -254,21 +250,19 @@
         started_at = self.tools.clock()
         sent: SentCall | None = None
         reply: UpstreamReply | None = None
+        # The server has not received all of a request that was not sent in
+        # time.
+        too_slow = UpstreamCallError(FailureKind.NOT_SENT, "sending was slow")
         try:
-            with gevent.Timeout(HAND_OVER_S, SendTimeoutError):
+            with gevent.Timeout(HAND_OVER_S, too_slow):
                 sent = self.open(self.call_to(server))
             try:
                 reply = sent.reply(HAND_OVER_S)
                 self.check_head(reply.head)
             except TimeoutError:
                 pass  # It neither refused nor answered yet.
-        except (UpstreamCallError, SendTimeoutError) as error:
+        except UpstreamCallError as failure:
             close_if_open(reply or sent)
-            failure = (
-                error
-                if isinstance(error, UpstreamCallError)
-                else UpstreamCallError(FailureKind.NOT_SENT, "sending was slow")
-            )
             self.tried.add(server.instance_key)
             self.record_failure(server, failure)
             self.tools.crashes.record_failure(
--- a/test/test_silent_servers.py
+++ b/test/test_silent_servers.py
@@ -56,6 +56,15 @@
         server.faults.silent_after = silent_after
 
 
+def outlast_all_limits(fleet):
+    """Limits all routes to 0.7 s and silences all servers for longer."""
+    config = make_wire_config(2)
+    for route in config["routes"]:
+        route["timeout_ms"] = 700
+    fleet.configure(config)
+    silence(fleet.servers, BEFORE_HEAD, silent_s=30.0)
+
+
 def empty_retry_budget(fleet):
     """Leaves the node no retry, also not after a first attempt."""
     fleet.nodes[0].budget.total = 0.0
@@ -384,11 +393,7 @@
 @pytest.mark.parametrize("target", ["/stream/x", "/cut/x", "/safe/x"])
 def test_silence_ends_at_the_time_limit(fleet, target):
     """A request without an answer ends with 504 soon after its limit."""
-    config = make_wire_config(2)
-    for route in config["routes"]:
-        route["timeout_ms"] = 700
-    fleet.configure(config)
-    silence(fleet.servers, BEFORE_HEAD, silent_s=30.0)
+    outlast_all_limits(fleet)
     started_at = time.monotonic()
     answer = fleet.call(target, headers=stream_headers())
     assert answer.status == 504
@@ -411,11 +416,7 @@
         return False
 
     monkeypatch.setattr(fleet.nodes[0].upstreams, "is_reachable", probe)
-    config = make_wire_config(2)
-    for route in config["routes"]:
-        route["timeout_ms"] = 700
-    fleet.configure(config)
-    silence(fleet.servers, BEFORE_HEAD, silent_s=30.0)
+    outlast_all_limits(fleet)
     started_at = time.monotonic()
     assert fleet.call(target, headers=stream_headers()).status == 504
     assert time.monotonic() - started_at < 0.95
