Say in the log why an attempt failed

It now has the error, cut to 120 characters. A pool of connections opens them through an attribute, so that a test can cut the links of one node.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -56,6 +56,9 @@
 RETRY_AFTER_S = (0.2, 0.7)
 """Range of the random retry delay sent to refused callers, in seconds."""
 
+MAX_ERROR_TEXT = 120
+"""Most characters of an error in the log line of a request."""
+
 BLOCKED_REASON = RefusalCode.POISONED_REQUEST.value
 """Outcome of a request that is blocked since servers ended under it."""
 BLOCKED_PART_REASON = "poisoned_prompt_part"
@@ -418,9 +421,24 @@
         self.tools.crashes.record_byte(server, self.began_at)
 
     def record_attempt(
-        self, server: ServerEntry, started_at: float, outcome: str, **more: Any
+        self,
+        server: ServerEntry,
+        started_at: float,
+        outcome: str,
+        error: str | None,
+        **more: Any,
     ) -> None:
-        """Adds an attempt to the trace and the metrics."""
+        """Adds an attempt to the trace and the metrics.
+
+        Args:
+            server: Server to which it was sent.
+            started_at: Clock when it began, in seconds.
+            outcome: Status or kind of failure.
+            error: What failed, None if nothing did.
+            **more: Further fields.
+        """
+        if error is not None:
+            more["error"] = error[:MAX_ERROR_TEXT]
         health = self.tools.health.get_or_create(server)
         self.tools.metrics.incr(f"sendings.{outcome}")
         self.context.trace.attempts.append(
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -99,6 +99,7 @@
         sent: SentCall | None = None
         reply: UpstreamReply | None = None
         outcome = "caller_left"
+        error: str | None = None
         held_before = self.held_bytes
         tools.health.record_start(server)
         try:
@@ -109,14 +110,14 @@
             self.record_answer(server, reply.head, started_at)
             return reply.head, body
         except UpstreamCallError as failure:
-            outcome = failure.kind.value
+            outcome, error = failure.kind.value, str(failure)
             self.release(held_before)
             self.record_failure(server, failure)
             raise
         finally:
             close_if_open(reply or sent)
             tools.health.record_end(server)
-            self.record_attempt(server, started_at, outcome)
+            self.record_attempt(server, started_at, outcome, error=error)
 
     def wait_head(self, server: ServerEntry, sent: SentCall) -> UpstreamReply:
         """Waits for a usable response head.
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -144,6 +144,7 @@
         sent: SentCall | None = handed.sent if handed else None
         reply: UpstreamReply | None = handed.reply if handed else None
         outcome = "caller_left"
+        error: str | None = None
         head_ms: float | None = None
         events = self.splitter.events
         call = self.call_to(server)
@@ -172,7 +173,7 @@
             )
             return reply.head
         except UpstreamCallError as failure:
-            outcome = failure.kind.value
+            outcome, error = failure.kind.value, str(failure)
             self.record_failure(server, failure)
             raise
         finally:
@@ -183,6 +184,7 @@
                 server,
                 started_at,
                 outcome,
+                error=error,
                 model=call.model,
                 head_ms=head_ms,
                 confidence=reply.head.confidence if reply else None,
@@ -268,7 +270,9 @@
             self.tools.crashes.record_failure(
                 server, self.subjects, failure.kind, started_at
             )
-            self.record_attempt(server, started_at, failure.kind.value)
+            self.record_attempt(
+                server, started_at, failure.kind.value, error=str(failure)
+            )
             return False
         except BaseException:
             close_if_open(reply or sent)
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -48,9 +48,21 @@
 MAX_SKIPPED_RESPONSES = 3
 """Responses to other requests that one request skips on its connection."""
 
+Dial = Callable[[str, float], HttpConnection]
+"""Connects to `host:port` within a number of seconds."""
+
 log = logging.getLogger(__name__)
 
 
+def open_connection(address: str, timeout_s: float) -> HttpConnection:
+    """Connects to `host:port`.
+
+    Raises:
+        OSError: The connection was refused or not established in time.
+    """
+    return HttpConnection.open(address, timeout_s)
+
+
 class HeaderCodec(Protocol):
     """Converts between typed calls and HTTP headers."""
 
@@ -73,7 +85,11 @@
 
 
 class UpstreamPool:
-    """Implements `ServerPort` with a connection pool per server instance."""
+    """Implements `ServerPort` with a connection pool per server instance.
+
+    Attributes:
+        dial: Opens connections to servers.
+    """
 
     def __init__(
         self,
@@ -83,6 +99,7 @@
         """Creates an empty pool."""
         self.codec = codec
         self.clock = clock
+        self.dial: Dial = open_connection
         self.idle: dict[tuple[str, int], collections.deque[IdleConnection]] = {}
         self.probes: dict[tuple[str, int], tuple[float, bool]] = {}
         self.running_probes: dict[tuple[str, int], gevent.Greenlet] = {}
@@ -141,7 +158,7 @@
         """Connects to a server and caches whether its VM accepted that."""
         accepted = False
         try:
-            HttpConnection.open(server.address, CONNECT_TIMEOUT_S).close()
+            self.dial(server.address, CONNECT_TIMEOUT_S).close()
             accepted = True
         except OSError:
             pass  # It is unreachable.
@@ -158,7 +175,7 @@
         that is gone.
         """
         try:
-            connection = HttpConnection.open(server.address, CONNECT_TIMEOUT_S)
+            connection = self.dial(server.address, CONNECT_TIMEOUT_S)
         except ConnectionRefusedError:
             return PathState.REFUSED
         except OSError as error:
@@ -184,7 +201,7 @@
         """
         timeout = min(CONNECT_TIMEOUT_S, max(call.remaining_s, 0.001))
         try:
-            return HttpConnection.open(call.server.address, timeout)
+            return self.dial(call.server.address, timeout)
         except OSError as error:
             raise UpstreamCallError(
                 FailureKind.NOT_SENT, f"connecting failed: {error}"
