--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -108,10 +108,16 @@
         self.relay: NodeEntry | None = None
         self.avoided_until: dict[str, float] = {}
         self.nodes_digest = ""
+        self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
         """Starts the greenlet that searches for a relay and polls it."""
-        gevent.spawn(self.run)
+        self.greenlet = gevent.spawn(self.run)
+
+    def stop(self) -> None:
+        """Stops the greenlet."""
+        if self.greenlet is not None:
+            self.greenlet.kill(block=False)
 
     def run(self) -> None:
         """Polls a relay while there is one and reads the store otherwise."""
--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -212,6 +212,7 @@
         """Stops nodes, servers and store."""
         for node, listeners in zip(self.nodes, self.listeners, strict=True):
             node.timers.stop()
+            node.relay_client.stop()
             for follower in node.followers:
                 follower.stop()
             for server in (listeners.callers, *listeners.internal_servers):
