Reach servers through a peer where a node lost its links

Callers of a node without links to the servers were refused: it knew no other path than its own connections, and took each refused one for the end of a server, so that it refused without an attempt, reported running servers as ended and had requests blocked at all nodes.

A node that cannot connect to a server now asks another one, which connects and passes bytes; admission, placement, limits and retries stay where the request is. A link counts as lost if a peer reached the server at that moment; a server counts as ended only if a peer that reaches others is refused as well.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/entry_choice.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/entry_choice.py
@@ -18,12 +18,14 @@
 
     They come from the caller's zone, or from its region or the whole fleet if
     the zone has fewer than `MIN_ZONE_NODES`. Callers pick an address at random,
-    so listing other zones as well would send traffic across zones.
+    so listing other zones as well would send traffic across zones. Nodes that
+    reach servers only through others are left out while enough are left.
     """
     serving = [node for node in nodes if node.serving]
     nearby = [node for node in serving if node.zone == zone]
     if len(nearby) < MIN_ZONE_NODES:
         nearby = [node for node in serving if node.region == region] or serving
-    chosen = list(nearby)
+    reaching = [node for node in nearby if node.reaches_servers]
+    chosen = reaching if len(reaching) >= MIN_ZONE_NODES else list(nearby)
     rng.shuffle(chosen)
     return [node.address for node in chosen[:MAX_ADDRESSES]]
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
@@ -270,6 +270,10 @@
             and (known.drop_at is None or known.drop_at > self.clock())
         )
 
+    def listed(self) -> list[ServerEntry]:
+        """Returns the entries of all registered servers."""
+        return [known.entry for known in self.known.values()]
+
     def is_listed(self, entry: ServerEntry) -> bool:
         """Returns whether this server instance is registered."""
         return self.find_known(entry) is not None
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -176,6 +176,7 @@
         self.tried_block: str | None = None
         self.began_at = 0.0
         self.made_progress = False
+        self.peer: str | None = None
         self.answer_due_at = min(
             self.request.deadline,
             self.request.arrived + self.route.timeout_ms / 1_000,
@@ -201,6 +202,7 @@
                 break
             self.tried.add(server.instance_key)
             self.made_progress = False
+            self.peer = None
             self.began_at = (
                 self.handed.sent_at if self.handed else self.tools.clock()
             )
@@ -448,6 +450,7 @@
                 "zone": server.zone,
                 "ms": round((self.tools.clock() - started_at) * 1_000, 1),
                 "outcome": outcome,
+                "peer": self.peer,
                 "own": health.own_requests,
                 "others": health.other_requests,
                 "failures": round(health.failure_share, 2),
@@ -458,6 +461,13 @@
     def record_result(self, server: ServerEntry, bad: bool) -> None:
         """Counts an answer for server health and roll-outs."""
         self.tools.health.record_outcome(server, bad)
+        self.record_for_version(server, bad)
+
+    def record_for_version(self, server: ServerEntry, bad: bool) -> None:
+        """Counts an answer for roll-outs, unless a lost link made it bad."""
+        if bad and self.tools.port.is_link_lost(server):
+            self.tools.metrics.incr("links.excused")
+            return
         self.tools.record_outcome(
             self.context.service_name, server.version, self.route.name, bad
         )
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -212,16 +212,35 @@
         ...
 
     def is_reachable(self, server: ServerEntry) -> bool:
-        """Returns whether a server's VM accepts a new connection."""
+        """Returns whether a new connection to a server can be opened."""
+        ...
+
+    def is_path_alive(self, server: ServerEntry, through_peer: bool) -> bool:
+        """Returns whether an open connection to a server may still work.
+
+        Args:
+            server: The server.
+            through_peer: The connection leads through another node.
+        """
+        ...
+
+    def is_link_lost(self, server: ServerEntry) -> bool:
+        """Returns whether only other nodes reach a server."""
         ...
 
     def check_path(self, server: ServerEntry) -> PathState:
-        """Opens a connection to a server and returns what became of it."""
+        """Returns what new connections of this node and others show."""
         ...
 
 
 class SentCall(Protocol):
-    """A request that was sent and may have reached the server."""
+    """A request that was sent and may have reached the server.
+
+    Attributes:
+        peer: Name of the node through which it was sent, None if directly.
+    """
+
+    peer: str | None
 
     def reply(self, timeout_s: float) -> UpstreamReply:
         """Waits for the head of the answer.
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -104,6 +104,7 @@
         tools.health.record_start(server)
         try:
             sent = self.open(self.call_for(server))
+            self.peer = sent.peer
             reply = self.wait_head(server, sent)
             body = self.read(server, reply)
             outcome = str(reply.head.status)
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/server_health.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/server_health.py
@@ -163,6 +163,13 @@
             health.backoff_until = self.clock() + health.backoff_s
             health.backoff_s = min(MAX_BACKOFF_S, 2 * health.backoff_s)
 
+    def forgive(self, server: ServerEntry) -> None:
+        """Forgets the failures of a server, which were not its own."""
+        health = self.get_or_create(server)
+        health.failure_share = 0.0
+        health.backoff_s = INITIAL_BACKOFF_S
+        health.gone = False
+
     def record_pace(self, server: ServerEntry, duration_ms: float) -> None:
         """Records a request duration, or for engines a relative event time."""
         health = self.get_or_create(server)
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -155,6 +155,7 @@
         try:
             self.splitter.discard_incomplete()
             sent = sent or self.open(call)
+            self.peer = sent.peer
             reply = reply or self.wait_head(server, sent, timer)
             self.record_head(server, reply)
             head_ms = round((tools.clock() - started_at) * 1_000, 1)
@@ -271,7 +272,11 @@
                 server, self.subjects, failure.kind, started_at
             )
             self.record_attempt(
-                server, started_at, failure.kind.value, error=str(failure)
+                server,
+                started_at,
+                failure.kind.value,
+                error=str(failure),
+                peer=sent.peer if sent else None,
             )
             return False
         except BaseException:
@@ -311,9 +316,7 @@
         end of its stream.
         """
         late = head_ms > LATE_OBJECTIVE_SHARE * self.route.objective_ms
-        self.tools.record_outcome(
-            self.context.service_name, server.version, self.route.name, late
-        )
+        self.record_for_version(server, late)
 
     def record_completed(
         self,
@@ -417,12 +420,14 @@
             raise UpstreamCallError(FailureKind.TIMEOUT, message)
 
     def is_unreachable(self, server: ServerEntry, silent_since: float) -> bool:
-        """Returns whether a silent server accepts no new connection."""
+        """Returns whether the connection to a silent server seems dead."""
         last_data_at = max(self.last_byte_at(server), silent_since)
-        return (
-            self.tools.clock() - last_data_at > PROBE_S
-            and not self.is_reachable(server)
-        )
+        if self.tools.clock() - last_data_at <= PROBE_S:
+            return False
+        through_peer = self.peer is not None
+        with gevent.Timeout(max(self.remaining_s(), 0.001), False):
+            return not self.tools.port.is_path_alive(server, through_peer)
+        return True
 
     def last_byte_at(self, server: ServerEntry) -> float:
         """Returns when a server last sent data to any request."""
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -52,11 +52,17 @@
 from amaranthlug.protocol.routing.engine_queues import EngineQueues
 from amaranthlug.protocol.routing.exchange import ExchangeTools
 from amaranthlug.protocol.routing.model_choice import ModelChoice
+from amaranthlug.protocol.routing.peer_choice import PeerChoice
 from amaranthlug.protocol.routing.placement import Placement
 from amaranthlug.protocol.routing.request_log import DecisionLog
 from amaranthlug.protocol.routing.router import Router
 from amaranthlug.protocol.routing.server_ends import ServerEnds
 from amaranthlug.protocol.routing.server_health import ServerHealthTracker
+from amaranthlug.protocol.routing.server_links import ServerLinks
+from amaranthlug.protocol.routing.server_paths import (
+    PeerPathPort,
+    ServerPaths,
+)
 from amaranthlug.protocol.routing.session_versions import SessionVersions
 from amaranthlug.protocol.routing.version_speed import VersionSpeeds
 from amaranthlug.state.routing.config import CallerLimits
@@ -66,12 +72,19 @@
     RunningByService,
     sum_running,
 )
+from amaranthlug.state.routing.servers import ServerEntry
 from amaranthlug.state.routing.settings import (
     RoutedNodeSettings,
     RoutingBounds,
 )
+from amaranthlug.transport.routing.http_client import HttpConnection
+from amaranthlug.transport.routing.peer_paths import PeerPaths, path_limit
 from amaranthlug.transport.routing.text_metrics import TextMetrics
-from amaranthlug.transport.routing.upstreams import HeaderCodec, UpstreamPool
+from amaranthlug.transport.routing.upstreams import (
+    HeaderCodec,
+    UpstreamPool,
+    open_connection,
+)
 
 CONFIG_READ_WAIT_S = 1.0
 """Maximum wait of one read of the configuration, in seconds; two reads and a
@@ -88,6 +101,8 @@
 """Period of this node's reports, in seconds."""
 ROLLOUT_PERIOD_S = 0.3
 """Period of the checks for due roll-out phases, in seconds."""
+LINK_PERIOD_S = 0.25
+"""Period in which due probes of lost links are started, in seconds."""
 PRUNE_PERIOD_S = 1.0
 """Period at which outdated state is dropped and gauges are updated, in
 seconds."""
@@ -143,7 +158,9 @@
     """Encodes and decodes all records of the store."""
 
 
-class NodePort(PeerPort, ClaimPort, NoticePort, Protocol):
+class NodePort(
+    PeerPort, ClaimPort, NoticePort, PeerPathPort[HttpConnection], Protocol
+):
     """Sends all messages to other nodes."""
 
 
@@ -252,7 +269,29 @@
         )
         self.health = ServerHealthTracker(boot_seconds)
         self.queues = EngineQueues(boot_seconds)
-        self.upstreams = UpstreamPool(headers)
+        self.links = ServerLinks(self.metrics, rng=self.random)
+        self.paths = ServerPaths(
+            self.links,
+            PeerChoice(
+                settings.name,
+                settings.region,
+                self.fleet.nodes,
+                rng=self.random,
+            ),
+            peers,
+            open_connection,
+            self.metrics,
+        )
+        self.paths.listed = self.servers.listed
+        self.peer_paths = PeerPaths(
+            self.paths,
+            self.servers,
+            self.fleet.nodes,
+            lambda: self.leaving,
+            path_limit(settings.max_descriptors),
+        )
+        self.upstreams = UpstreamPool(headers, self.paths)
+        self.links.receive_loss = self.record_lost_link
         self.server_ends = ServerEnds(
             self.upstreams, self.health, self.servers, self.metrics
         )
@@ -312,6 +351,7 @@
         for follower in self.followers:
             follower.start()
         self.timers.every("report", REPORT_PERIOD_S, self.sync_fleet)
+        self.timers.every("links", LINK_PERIOD_S, self.paths.probe_lost)
         self.timers.every("rollouts", ROLLOUT_PERIOD_S, self.advance_rollouts)
         for name, callback in (
             ("tidy", self.prune_departed_servers),
@@ -376,11 +416,25 @@
 
     def prune_departed_servers(self) -> None:
         """Drops health, queues and connections of servers that are gone."""
-        listed = [known.entry for known in self.servers.known.values()]
+        listed = self.servers.listed()
         self.health.keep_only(listed)
         instance_keys = {entry.instance_key for entry in listed}
         self.queues.keep_only(instance_keys)
         self.upstreams.prune(instance_keys)
+        self.links.keep_only(instance_keys)
+        self.metrics.gauge("links_lost", len(self.links.lost))
+        self.metrics.gauge("peer_paths_open", self.peer_paths.running)
+
+    def record_lost_link(self, server: ServerEntry, hung: bool) -> None:
+        """Clears a server of failures that a lost link explains.
+
+        Args:
+            server: The server, which other nodes reach.
+            hung: Open connections to it are dead.
+        """
+        self.health.forgive(server)
+        if hung:
+            self.upstreams.drop_idle(server)
 
     def report_losses(self) -> None:
         """Updates the gauges of what the store has lost."""
@@ -440,6 +494,7 @@
             serving=self.is_ready(),
             store_era=self.store_era.current,
             config_version=self.config_version(),
+            reaches_servers=not self.links.is_cut(),
         )
 
     def config_version(self) -> int:
@@ -533,7 +588,7 @@
 
         Args:
             requests_running: Returns the number of requests being read or
-                answered.
+                answered, those of other nodes that use its paths included.
             stop_accepting: Closes the listener and idle connections.
         """
         started_at = boot_seconds()
--- a/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
@@ -27,6 +27,7 @@
         serving: False while the node drains or has no configuration.
         store_era: Era of the store that it knows, None if unknown.
         config_version: Version of its configuration, -1 without one.
+        reaches_servers: False while it reaches servers only through others.
     """
 
     node: str
@@ -38,6 +39,7 @@
     serving: bool
     store_era: int | None = None
     config_version: int = -1
+    reaches_servers: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
@@ -4,6 +4,7 @@
 import dataclasses
 import socket
 import time
+from collections.abc import Callable
 
 import gevent
 import httptools
@@ -150,11 +151,18 @@
 
 
 class HttpConnection:
-    """A connection that carries one request at a time."""
+    """A connection that carries one request at a time.
+
+    Attributes:
+        peer: Name of the node through which it leads, None if it is direct.
+        receive_close: Called once when it is closed.
+    """
 
     def __init__(self, sock: socket.socket):
         """Wraps a connected socket."""
         self.sock = sock
+        self.peer: str | None = None
+        self.receive_close: Callable[[], object] | None = None
         self.parser = ResponseParser()
         self.meter = ResponseMeter()
         self.unyielded_bytes = 0
@@ -341,6 +349,9 @@
         """Closes the connection; the server then stops a request on it."""
         self.reusable = False
         self.sock.close()
+        receive_close, self.receive_close = self.receive_close, None
+        if receive_close is not None:
+            receive_close()
 
 
 def render_request(
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
@@ -189,7 +189,13 @@
 
 
 class Responder:
-    """Writes the response to one request."""
+    """Writes the response to one request.
+
+    Attributes:
+        take_over: Set by a handler that answers nothing: called with the socket
+            and the bytes read from it after the request, once nothing else
+            reads from it; the connection ends afterwards.
+    """
 
     def __init__(self, sock: socket.socket, may_keep_alive: Callable[[], bool]):
         """Writes to `sock`; calls `may_keep_alive` when the head is sent."""
@@ -198,6 +204,7 @@
         self.keep_alive = False
         self.headers_sent = False
         self.is_complete = False
+        self.take_over: Callable[[socket.socket, bytes], None] | None = None
 
     def head(self, status: int, headers: Headers) -> bytes:
         """Returns a response head, with `Connection: close` where it is due."""
@@ -458,6 +465,9 @@
         finally:
             watcher.kill()
             worker.kill(CallerDisconnected)
+        if responder.take_over is not None:
+            responder.take_over(self.sock, self.read_ahead)
+            return False
         return responder.is_complete and responder.keep_alive
 
     def handle(self, request: IncomingRequest, responder: Responder) -> None:
@@ -472,7 +482,7 @@
                 "unexpected error while handling a request",
                 extra={"event": "internal_error"},
             )
-        if not responder.headers_sent:
+        if not responder.headers_sent and responder.take_over is None:
             with contextlib.suppress(OSError):  # The caller disconnected.
                 responder.send_response(500, [], b"")
 
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -22,6 +22,13 @@
     ClaimRequest,
     SessionOwners,
 )
+from amaranthlug.protocol.routing.server_paths import (
+    PathReport,
+    PathRequest,
+    PeerPathError,
+)
+from amaranthlug.state.routing.fleet import NodeEntry
+from amaranthlug.state.routing.servers import ServerEntry
 from amaranthlug.transport.routing.http_client import (
     HttpConnection,
     render_request,
@@ -30,6 +37,12 @@
     IncomingRequest,
     Responder,
 )
+from amaranthlug.transport.routing.peer_paths import (
+    CHECK_PATH,
+    NO_PATH_STATUS,
+    OPEN_PATH,
+    PeerPaths,
+)
 
 EXCHANGE_PATH = "/peer/exchange"
 CLAIM_PATH = "/peer/session-claim"
@@ -50,20 +63,29 @@
 
 
 class PeerEndpoint:
-    """Serves relay exchanges, claims and notices to other nodes."""
+    """Serves relay exchanges, claims, notices and paths to other nodes."""
 
     def __init__(
-        self, relay: Relay, owners: SessionOwners, suspects: FleetSuspects
+        self,
+        relay: Relay,
+        owners: SessionOwners,
+        suspects: FleetSuspects,
+        paths: PeerPaths,
     ):
         """Creates an endpoint for a relay, session owner and suspects."""
+        self.paths = paths
         self.handlers: dict[str, tuple[type, Callable[[Any], Any]]] = {
             EXCHANGE_PATH: (RelayRequest, relay.answer),
             CLAIM_PATH: (ClaimRequest, owners.answer),
             NOTICE_PATH: (SuspectNotice, suspects.receive),
+            CHECK_PATH: (PathRequest, paths.check),
         }
 
     def handle(self, incoming: IncomingRequest, responder: Responder) -> None:
         """Answers one message, with 503 if the node cannot do so now."""
+        if incoming.target == OPEN_PATH:
+            self.paths.open(incoming, responder)
+            return
         if incoming.target not in self.handlers:
             responder.send_response(404, [], b"")
             return
@@ -126,6 +148,59 @@
         """
         return self.post(address, NOTICE_PATH, notice, timeout_s, NoticeAnswer)
 
+    def check_path(
+        self, node: NodeEntry, server: ServerEntry, timeout_s: float
+    ) -> PathReport:
+        """Returns what the links of a node show of a server.
+
+        Raises:
+            OSError: The node could not be reached or its response is invalid.
+        """
+        request = PathRequest(server.instance_name)
+        return self.post(
+            node.peer_address, CHECK_PATH, request, timeout_s, PathReport
+        )
+
+    def open_path(
+        self, node: NodeEntry, server: ServerEntry, timeout_s: float
+    ) -> HttpConnection:
+        """Returns a connection to a server that leads through a node.
+
+        It carries one request.
+
+        Raises:
+            PeerPathError: The node opened none.
+            OSError: The node could not be reached or its response is invalid.
+        """
+        address = node.peer_address
+        body = msgspec.json.encode(PathRequest(server.instance_name))
+        headers = [("Host", address), ("Content-Length", str(len(body)))]
+        connection = HttpConnection.open(
+            address, min(CONNECT_TIMEOUT_S, timeout_s)
+        )
+        try:
+            head, content = connection.request(
+                render_request("POST", OPEN_PATH, headers, body),
+                timeout_s,
+                MAX_ANSWER_BYTES,
+            )
+            if head.status == NO_PATH_STATUS:
+                report = msgspec.json.decode(content, type=PathReport)
+                raise PeerPathError(
+                    f"node {node.node} does not reach the server", report
+                )
+            if head.status != 200:
+                raise PeerPathError(f"node {node.node} answered {head.status}")
+        except msgspec.MsgspecError as error:
+            connection.close()
+            raise OSError(f"malformed response of a node: {error}") from error
+        except BaseException:
+            connection.close()
+            raise
+        connection.peer = node.node
+        connection.reusable = False
+        return connection
+
     def post(
         self,
         address: str,
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -17,6 +17,7 @@
     UpstreamCall,
     UpstreamCallError,
 )
+from amaranthlug.protocol.routing.server_paths import ServerPaths
 from amaranthlug.state.routing.servers import ServerEntry
 from amaranthlug.transport.routing.http_client import (
     Headers,
@@ -48,9 +49,6 @@
 MAX_SKIPPED_RESPONSES = 3
 """Responses to other requests that one request skips on its connection."""
 
-Dial = Callable[[str, float], HttpConnection]
-"""Connects to `host:port` within a number of seconds."""
-
 log = logging.getLogger(__name__)
 
 
@@ -85,21 +83,25 @@
 
 
 class UpstreamPool:
-    """Implements `ServerPort` with a connection pool per server instance.
-
-    Attributes:
-        dial: Opens connections to servers.
-    """
+    """Implements `ServerPort` with a connection pool per server instance."""
 
     def __init__(
         self,
         codec: HeaderCodec,
+        paths: ServerPaths[HttpConnection],
         clock: Callable[[], float] = boot_seconds,
     ):
-        """Creates an empty pool."""
+        """Creates an empty pool.
+
+        Args:
+            codec: Converts headers.
+            paths: Opens connections to servers.
+            clock: Returns seconds.
+        """
         self.codec = codec
+        self.paths = paths
         self.clock = clock
-        self.dial: Dial = open_connection
+        paths.look = self.look
         self.idle: dict[tuple[str, int], collections.deque[IdleConnection]] = {}
         self.probes: dict[tuple[str, int], tuple[float, bool]] = {}
         self.running_probes: dict[tuple[str, int], gevent.Greenlet] = {}
@@ -158,7 +160,7 @@
         """Connects to a server and caches whether its VM accepted that."""
         accepted = False
         try:
-            self.dial(server.address, CONNECT_TIMEOUT_S).close()
+            self.paths.open(server, CONNECT_TIMEOUT_S).close()
             accepted = True
         except OSError:
             pass  # It is unreachable.
@@ -167,15 +169,36 @@
         self.probes[server.instance_key] = (self.clock(), accepted)
         return accepted
 
+    def is_path_alive(self, server: ServerEntry, through_peer: bool) -> bool:
+        """Returns whether an open connection to a server may still work.
+
+        Args:
+            server: The server.
+            through_peer: The connection leads through another node.
+        """
+        if not self.is_reachable(server):
+            return False
+        return through_peer or not self.paths.links.is_hung(server)
+
+    def is_link_lost(self, server: ServerEntry) -> bool:
+        """Returns whether only other nodes reach a server."""
+        return self.paths.links.is_lost(server)
+
     def check_path(self, server: ServerEntry) -> PathState:
-        """Opens a connection to a server and returns what became of it.
+        """Returns what this node and others find of a server.
+
+        Unlike that of `is_reachable` the result is new.
+        """
+        return self.paths.check(server)
+
+    def look(self, server: ServerEntry) -> PathState:
+        """Opens a connection over this node's own link.
 
-        Unlike that of `is_reachable` the result is new. A connection that is
-        accepted may still be closed at once, by a forwarder before a process
-        that is gone.
+        A connection that is accepted may still be closed at once, by a
+        forwarder before a process that is gone.
         """
         try:
-            connection = self.dial(server.address, CONNECT_TIMEOUT_S)
+            connection = self.paths.dial(server.address, CONNECT_TIMEOUT_S)
         except ConnectionRefusedError:
             return PathState.REFUSED
         except OSError as error:
@@ -201,7 +224,7 @@
         """
         timeout = min(CONNECT_TIMEOUT_S, max(call.remaining_s, 0.001))
         try:
-            return self.dial(call.server.address, timeout)
+            return self.paths.open(call.server, timeout)
         except OSError as error:
             raise UpstreamCallError(
                 FailureKind.NOT_SENT, f"connecting failed: {error}"
@@ -242,6 +265,11 @@
         if len(idle_connections) > MAX_IDLE:
             idle_connections.popleft().connection.close()
 
+    def drop_idle(self, server: ServerEntry) -> None:
+        """Closes the idle connections to a server, which are dead."""
+        for idle in self.idle.pop(server.instance_key, ()):
+            idle.connection.close()
+
     def prune(self, listed: set[tuple[str, int]]) -> None:
         """Closes expired connections and those to instances not `listed`."""
         now = self.clock()
@@ -262,7 +290,11 @@
 
 
 class SentRequest:
-    """Implements `SentCall`: a request whose response is still to come."""
+    """Implements `SentCall`: a request whose response is still to come.
+
+    Attributes:
+        peer: Name of the node through which it was sent, None if directly.
+    """
 
     def __init__(
         self,
@@ -274,6 +306,7 @@
         self.pool = pool
         self.call = call
         self.connection = connection
+        self.peer = connection.peer
         self.skipped_responses = 0
 
     def reply(self, timeout_s: float) -> "Reply":
--- a/test/_endless.py
+++ b/test/_endless.py
@@ -3,11 +3,11 @@
 import itertools
 
 import gevent
+from _paths import make_pool
 
 from amaranthlug.protocol.routing.messages import UpstreamCall
 from amaranthlug.transport.routing.http_client import HttpConnection
-from amaranthlug.transport.routing.upstreams import SentRequest, UpstreamPool
-from amaranthlug_platform.headers import PlatformHeaders
+from amaranthlug.transport.routing.upstreams import SentRequest
 
 MAX_READ_BYTES = 16 << 20
 """Bytes after which a test gives up on a reader without a limit."""
@@ -81,4 +81,4 @@
 def make_sent_request(connection, request, server) -> SentRequest:
     """Returns a request that was sent on a connection."""
     call = UpstreamCall(request, server, None, 1.0, repeatable=True)
-    return SentRequest(UpstreamPool(PlatformHeaders()), call, connection)
+    return SentRequest(make_pool(), call, connection)
--- a/test/_lost_links.py
+++ b/test/_lost_links.py
@@ -5,7 +5,7 @@
 import itertools
 
 import gevent
-from _platform_fleet import PlatformFleet, stream_headers
+from _platform_fleet import PlatformFleet, stream_headers, wait_for
 
 from amaranthlug.transport.routing.http_client import HttpConnection
 from amaranthlug_standins.fault_proxy import FaultProxy
@@ -40,8 +40,8 @@
         self.proxy = proxy
         self.addresses: dict[str, str] = {}
         self.cut = ""
-        self.dial_directly = node.upstreams.dial
-        node.upstreams.dial = self.dial
+        self.dial_directly = node.paths.dial
+        node.paths.dial = self.dial
 
     @property
     def name(self) -> str:
@@ -203,6 +203,21 @@
             NodeLinks(node, self.fleet.proxy) for node in self.fleet.nodes
         ]
         self.traffic = Traffic(self.fleet)
+        self.wait_until_acquainted()
+
+    def wait_until_acquainted(self) -> None:
+        """Waits until each node knows all others."""
+        nodes = self.fleet.nodes
+        wait_for(
+            lambda: all(len(node.fleet.nodes()) == len(nodes) for node in nodes)
+        )
+
+    def add_cut_node(self, how: str) -> None:
+        """Starts one more node, whose links are cut from the beginning."""
+        node = self.fleet.add_node()
+        self.links.append(NodeLinks(node, self.fleet.proxy))
+        self.links[-1].begin_cut(how)
+        self.wait_until_acquainted()
 
     def cut(self, nodes: set[int], how: str) -> None:
         """Cuts the links of some nodes."""
--- a/test/_streams.py
+++ b/test/_streams.py
@@ -83,6 +83,7 @@
         """Sends a request now."""
         self.clock = clock
         self.script = script
+        self.peer: str | None = None
         self.due_at = clock() + script.head_s
 
     def reply(self, timeout_s: float) -> ScriptedReply:
@@ -160,6 +161,14 @@
         """Returns that an engine is reachable."""
         return True
 
+    def is_path_alive(self, server, through_peer) -> bool:
+        """Returns that open connections work."""
+        return True
+
+    def is_link_lost(self, server) -> bool:
+        """Returns that the node reaches its engines itself."""
+        return False
+
     def play(self, version: str, script: StreamScript) -> None:
         """Relays a stream of a version's engine as far as it is shown."""
         self.script = script
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 from _crash_fleet import DEAD_SERVERS
+from _paths import make_pool
 from _platform_fleet import (
     PlatformFleet,
     error_reason,
@@ -18,8 +19,6 @@
 from amaranthlug.protocol.routing.request_subjects import request_digest
 from amaranthlug.routed_node import RoutedNode
 from amaranthlug.transport.routing.http_client import HttpConnection
-from amaranthlug.transport.routing.upstreams import UpstreamPool
-from amaranthlug_platform.headers import PlatformHeaders
 from amaranthlug_platform_standins.server import ServerFaults
 from amaranthlug_platform_standins.soak_fleet import find_free_addresses
 from amaranthlug_standins.fault_proxy import FaultProxy
@@ -295,7 +294,7 @@
 
 def test_refused_connection_shows_that_a_server_ended():
     """Nobody listens at its address."""
-    pool = UpstreamPool(PlatformHeaders())
+    pool = make_pool()
     server = make_server(address=find_free_addresses(1).pop())
     assert pool.check_path(server) is PathState.REFUSED
 
@@ -308,7 +307,7 @@
         raise TimeoutError("timed out")
 
     monkeypatch.setattr(HttpConnection, "open", time_out)
-    pool = UpstreamPool(PlatformHeaders())
+    pool = make_pool()
     assert pool.check_path(make_server()) is PathState.UNKNOWN
     assert "cannot tell whether server s1 has ended" in caplog.text
 
@@ -327,7 +326,7 @@
     [target] = find_free_addresses(1)
     address = proxy.add_link("node", "server", target)
     proxy.links[address].when_down = how
-    pool = UpstreamPool(PlatformHeaders())
+    pool = make_pool()
     assert pool.check_path(make_server(address=address)) is state
     proxy.links[address].stop()
 
@@ -335,5 +334,5 @@
 def test_path_of_a_live_server_is_open(crash):
     """It waits for a request."""
     [known, *_] = crash.fleet.nodes[0].servers.usable_servers("pool")
-    pool = UpstreamPool(PlatformHeaders())
+    pool = make_pool()
     assert pool.check_path(known) is PathState.OPEN
