Use a connection that was made while the process was stalled

A stall of the process ends the wait for a connection even if it was established meanwhile, since timers of the event loop run first. The connection is now used if the socket is connected.

--- a/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
@@ -50,11 +50,35 @@
     Raises:
         OSError: The connection was refused or not established in time.
     """
-    sock = gsocket.create_connection(split_address(address), timeout_s)
-    set_tcp_options(sock)
+    sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(timeout_s)
+        try:
+            sock.connect(split_address(address))
+        except TimeoutError:
+            # A stall of this process ends the wait, too.
+            if not is_connected(sock):
+                raise
+        set_tcp_options(sock)
+    except BaseException:
+        sock.close()
+        raise
     return sock
 
 
+def is_connected(sock: socket.socket) -> bool:
+    """Returns whether a connection that was begun is established."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLOUT)
+    return bool(poll.poll(0)) and not sock.getsockopt(
+        socket.SOL_SOCKET, socket.SO_ERROR
+    )
+
+
 def is_readable(sock: socket.socket) -> bool:
     """Returns whether a read would return data or end-of-file immediately."""
     poll = select.poll()
--- a/test/test_sockets.py
+++ b/test/test_sockets.py
@@ -82,3 +82,54 @@
     with pytest.raises(TimeoutError) as raised:
         near.recv(100)
     assert raised.value.errno == errno.ETIMEDOUT  # Not the limit of the read.
+
+
+# Guards against a link that counts as lost since this process was stalled for
+# longer than the wait for a connection.
+def test_connection_made_during_a_stall_is_used(monkeypatch):
+    """It was established before the time was found to be over."""
+
+    class StalledSocket(gsocket.socket):
+        """A socket whose process is stalled once it is connected."""
+
+        def connect(self, address):
+            """Connects.
+
+            Raises:
+                TimeoutError: Always.
+            """
+            super().connect(address)
+            raise TimeoutError("timed out")
+
+    with gsocket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+        monkeypatch.setattr(sockets.gsocket, "socket", StalledSocket)
+        sock = sockets.connect(f"{host}:{port}", 0.1)
+        monkeypatch.undo()
+        sock.sendall(b"x")
+        far, _ = listener.accept()
+        assert far.recv(1) == b"x"
+        far.close()
+        sock.close()
+
+
+def test_connection_that_is_not_made_in_time_fails(monkeypatch):
+    """A wait that is over is no connection."""
+    waits = []
+
+    class WaitingSocket(gsocket.socket):
+        """A socket whose connection gets no answer."""
+
+        def connect(self, address):
+            """Waits in vain.
+
+            Raises:
+                TimeoutError: Always.
+            """
+            waits.append(address)
+            raise TimeoutError("timed out")
+
+    monkeypatch.setattr(sockets.gsocket, "socket", WaitingSocket)
+    with pytest.raises(TimeoutError):
+        sockets.connect("127.0.0.1:9", 0.1)
+    assert waits == [("127.0.0.1", 9)]
