Check the key of a request once its connection is open

The key was checked before the connection was opened, which may take 0.5 s, and longer if the process is paused meanwhile; the request was then sent although its key had been withdrawn. It is now checked again before the first byte is sent. The new test got 200 and a run before, 503 with a time to come back and no run now.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -383,6 +383,7 @@
             organisation=self.context.organisation,
             remaining_s=self.remaining_s(),
             repeatable=self.route.repeatable,
+            may_send=lambda: self.context.may_send(self.context),
             **more,
         )
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Callable
 from typing import Protocol
 
 from amaranthlug.state.routing.servers import ServerEntry
@@ -86,6 +87,8 @@
         urgency: Rank from 0, first, to 9, last; None for the server's
             default.
         last_event: Id of the event after which a stream resumes.
+        may_send: Returns whether the request may still be sent; asked once the
+            connection is open.
     """
 
     request: RoutedRequest
@@ -96,6 +99,7 @@
     model: str | None = None
     urgency: int | None = None
     last_event: str | None = None
+    may_send: Callable[[], bool] = lambda: True
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -117,6 +117,11 @@
         connection = self.take_idle(
             instance_key, call.repeatable
         ) or self.connect(call)
+        if not call.may_send():
+            connection.close()
+            raise UpstreamCallError(
+                FailureKind.NOT_SENT, "its key ran out while connecting"
+            )
         headers = self.codec.encode(call)
         request = call.request
         if request.body or request.method not in ("GET", "HEAD"):
--- a/test/test_platform_path.py
+++ b/test/test_platform_path.py
@@ -336,6 +336,23 @@
     wait_for(lambda: sum(s.cancelled_runs for s in fleet.servers) == 1, 0.5)
 
 
+# Guards against a request that was allowed before a wait for its connection,
+# and that is sent although its key was withdrawn meanwhile.
+def test_key_withdrawn_while_connecting_is_not_used(fleet):
+    """The connection was slow, or the process was paused."""
+    dial = fleet.nodes[0].paths.dial
+
+    def dial_slowly(address, timeout_s):
+        fleet.configure(make_wire_config(version=2, keys=()))
+        return dial(address, timeout_s)
+
+    fleet.nodes[0].paths.dial = dial_slowly
+    answer = fleet.call("/safe/a")
+    assert answer.status == 503
+    assert "retry-after" in answer.headers
+    assert fleet.runs("id-1") == 0
+
+
 def test_withdrawn_key_is_rejected(fleet):
     """A request with a withdrawn key must not run."""
     fleet.configure(make_wire_config(2, keys=("key-2",)))
