Obey servers that say in answers that they leave or pause

A server that leaves says so in its answers, and one that refuses may say when to come back; nodes ignored both, so that requests reached a leaving server until its entry said so, and a refusing one all the time. Each node now keeps both for the instance that said it, asks them for candidates and again before a request is sent, and forgets them with the instance.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -32,6 +32,7 @@
 from amaranthlug.protocol.routing.version_speed import VersionSpeeds
 from amaranthlug.state.refusal import RefusalCode
 from amaranthlug.state.routing.config import Route
+from amaranthlug.state.routing.server_statements import ServerStatements
 from amaranthlug.state.routing.servers import ServerEntry
 
 NOT_RUN_STATUSES = frozenset({408, 429, 503})
@@ -82,6 +83,7 @@
         crashes: Finds requests under which servers ended.
         speeds: Compares the speed of streams between versions.
         buffers: Limits the memory of answers that are buffered.
+        statements: Knows the servers that want no new requests.
         metrics: Counters and durations.
         clock: Returns seconds, including time in which the VM was paused.
         record_outcome: Receives service, version, route and whether the answer
@@ -100,6 +102,7 @@
     crashes: CrashWatch
     speeds: VersionSpeeds
     buffers: AnswerBuffers
+    statements: ServerStatements
     metrics: Metrics
     clock: Callable[[], float]
     record_outcome: Callable[[str, str, str, bool], None]
@@ -383,17 +386,24 @@
             organisation=self.context.organisation,
             remaining_s=self.remaining_s(),
             repeatable=self.route.repeatable,
-            may_send=lambda: self.context.may_send(self.context),
+            may_send=lambda: self.may_send_to(server),
             **more,
         )
 
-    def check_head(self, head: ReplyHead) -> None:
+    def may_send_to(self, server: ServerEntry) -> bool:
+        """Returns whether the request may be sent to a server now."""
+        return self.context.may_send(
+            self.context
+        ) and self.tools.statements.may_receive(server)
+
+    def check_head(self, server: ServerEntry, head: ReplyHead) -> None:
         """Checks that a response head is one that the caller can use.
 
         Raises:
             UpstreamCallError: The request did not run, or the answer is not
                 usable.
         """
+        self.record_statements(server, head)
         if head.status == 421:
             raise UpstreamCallError(
                 FailureKind.REPLACED, "another server is at the address"
@@ -418,6 +428,15 @@
                 FailureKind.BROKEN, "answer has no server seal"
             )
 
+    def record_statements(self, server: ServerEntry, head: ReplyHead) -> None:
+        """Records what a server says of itself, unless another one answered."""
+        if head.status == 421:
+            return
+        if head.leaving:
+            self.tools.statements.record_leaving(server)
+        if head.status == 503 and head.retry_after_s is not None:
+            self.tools.statements.record_pause(server, head.retry_after_s)
+
     def record_byte(self, server: ServerEntry) -> None:
         """Records that a server sent data to the attempt that runs."""
         self.tools.health.record_byte(server)
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -127,6 +127,9 @@
         idle_s: Time for which the server keeps an idle connection, in
             seconds, None if not stated.
         encoded: The body has a content encoding that was not requested.
+        leaving: The server leaves and wants no new request.
+        retry_after_s: Time for which it wants no request after one that it
+            refused, in seconds, None if not stated.
     """
 
     status: int
@@ -138,6 +141,8 @@
     confidence: int | None = None
     idle_s: float | None = None
     encoded: bool = False
+    leaving: bool = False
+    retry_after_s: float | None = None
 
 
 class FailureKind(enum.Enum):
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -127,7 +127,7 @@
             UpstreamCallError: None came in time, or it is not usable.
         """
         reply = self.wait(server, sent.reply, "no response head in time")
-        self.check_head(reply.head)
+        self.check_head(server, reply.head)
         return reply
 
     def wait(
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
@@ -251,7 +251,8 @@
         )
         if not trace.attempts:
             trace.version_choice = choice
-        return choice.servers
+        may_receive = self.tools.statements.may_receive
+        return [server for server in choice.servers if may_receive(server)]
 
     def retry_later(self, reason: str, message: str) -> RefusedError:
         """Returns a refusal that tells the caller when to retry."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -161,7 +161,7 @@
             head_ms = round((tools.clock() - started_at) * 1_000, 1)
             if reply.head.status < 300:
                 tools.queues.record_start(server, call.model, tokens, ticket)
-            self.check_head(reply.head)
+            self.check_head(server, reply.head)
             if reply.head.status >= 300:
                 return self.relay_response(server, reply)
             timer.record_head()
@@ -261,7 +261,7 @@
                 sent = self.open(self.call_to(server))
             try:
                 reply = sent.reply(HAND_OVER_S)
-                self.check_head(reply.head)
+                self.check_head(server, reply.head)
             except TimeoutError:
                 pass  # It neither refused nor answered yet.
         except UpstreamCallError as failure:
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -72,6 +72,7 @@
     RunningByService,
     sum_running,
 )
+from amaranthlug.state.routing.server_statements import ServerStatements
 from amaranthlug.state.routing.servers import ServerEntry
 from amaranthlug.state.routing.settings import (
     RoutedNodeSettings,
@@ -291,6 +292,7 @@
             path_limit(settings.max_descriptors),
         )
         self.upstreams = UpstreamPool(headers, self.paths)
+        self.statements = ServerStatements(boot_seconds)
         self.links.receive_loss = self.record_lost_link
         self.server_ends = ServerEnds(
             self.upstreams, self.health, self.servers, self.metrics
@@ -325,6 +327,7 @@
                 boot_seconds, self.rollouts.target_of, self.rollouts.count
             ),
             buffers=AnswerBuffers(),
+            statements=self.statements,
             metrics=self.metrics,
             clock=boot_seconds,
             record_outcome=self.rollouts.count_answer,
@@ -422,6 +425,7 @@
         self.queues.keep_only(instance_keys)
         self.upstreams.prune(instance_keys)
         self.links.keep_only(instance_keys)
+        self.statements.keep_only(instance_keys)
         self.metrics.gauge("links_lost", len(self.links.lost))
         self.metrics.gauge("peer_paths_open", self.peer_paths.running)
 
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -120,7 +120,7 @@
         if not call.may_send():
             connection.close()
             raise UpstreamCallError(
-                FailureKind.NOT_SENT, "its key ran out while connecting"
+                FailureKind.NOT_SENT, "it must not be sent any more"
             )
         headers = self.codec.encode(call)
         request = call.request
--- a/test/_streams.py
+++ b/test/_streams.py
@@ -18,6 +18,7 @@
 from amaranthlug.protocol.routing.stream_exchange import StreamExchange
 from amaranthlug.protocol.routing.version_speed import VersionSpeeds
 from amaranthlug.state.routing.config import RouteKind
+from amaranthlug.state.routing.server_statements import ServerStatements
 
 
 class StillRunningError(Exception):
@@ -145,6 +146,7 @@
             queues=queues,
             crashes=make_watch(),
             buffers=AnswerBuffers(),
+            statements=ServerStatements(clock),
             speeds=VersionSpeeds(clock, tracker.target_of, tracker.count),
             metrics=NoMetrics(),
             clock=clock,
