Count errors that servers send over lost links for their version

The excuse for lost links covered every bad answer at a cut node, also an error that the server sent, so that a bad version would have been found later while many nodes are cut. Only late and missing answers are excused now. The new test found no outcome counted before and one bad answer now.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -478,18 +478,31 @@
             }
         )
 
-    def record_result(self, server: ServerEntry, bad: bool) -> None:
-        """Counts an answer for server health and roll-outs."""
-        self.tools.health.record_outcome(server, bad)
-        self.record_for_version(server, bad)
-
-    def record_for_version(self, server: ServerEntry, bad: bool) -> None:
-        """Counts an answer for roll-outs, unless a lost link made it bad."""
-        if bad and self.tools.port.is_link_lost(server):
+    def record_result(
+        self, server: ServerEntry, bad: bool, is_late: bool = False
+    ) -> None:
+        """Counts an answer for server health and roll-outs.
+
+        Args:
+            server: The server.
+            bad: The answer is an error.
+            is_late: It came late or not in time.
+        """
+        self.tools.health.record_outcome(server, bad or is_late)
+        self.record_for_version(server, bad, is_late)
+
+    def record_for_version(
+        self, server: ServerEntry, bad: bool, is_late: bool
+    ) -> None:
+        """Counts an answer for roll-outs, unless a lost link made it late."""
+        if is_late and not bad and self.tools.port.is_link_lost(server):
             self.tools.metrics.incr("links.excused")
             return
         self.tools.record_outcome(
-            self.context.service_name, server.version, self.route.name, bad
+            self.context.service_name,
+            server.version,
+            self.route.name,
+            bad or is_late,
         )
 
     def no_answer_reply(self, reason: str) -> LocalReply:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -210,7 +210,7 @@
         self.record_byte(server)
         health.record_load(server, head.load)
         slow = took_ms > max(self.route.objective_ms, 1)
-        self.record_result(server, head.status >= SERVER_ERROR or slow)
+        self.record_result(server, head.status >= SERVER_ERROR, slow)
         health.record_pace(server, took_ms)
 
     def record_failure(
@@ -218,7 +218,7 @@
     ) -> None:
         """Records a failed attempt in the server's health."""
         if failure.kind is FailureKind.TIMEOUT:
-            self.record_result(server, True)
+            self.record_result(server, bad=False, is_late=True)
         else:
             # A broken connection is a fault of the server, not of its version.
             self.tools.health.record_outcome(server, True)
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -316,7 +316,7 @@
         end of its stream.
         """
         late = head_ms > LATE_OBJECTIVE_SHARE * self.route.objective_ms
-        self.record_for_version(server, late)
+        self.record_for_version(server, bad=False, is_late=late)
 
     def record_completed(
         self,
--- a/test/test_peer_paths.py
+++ b/test/test_peer_paths.py
@@ -194,3 +194,16 @@
     address = node.settings.addresses.callers
     call(address, "/safe/b", request_id="id-2", deadline_ms=1_000)
     assert [bad for *_, bad in outcomes if bad] == []
+
+
+# Guards against a bad version that a cut node does not see, since all that came
+# over a lost link was excused.
+def test_error_of_a_version_counts_through_a_peer(cut_fleet):
+    """The server sent it; the link did not cause it."""
+    node = cut_fleet.fleet.nodes[CUT_NODE]
+    outcomes = []
+    node.router.tools.record_outcome = lambda *values: outcomes.append(values)
+    for server in cut_fleet.fleet.servers:
+        server.faults.status = 500
+    assert cut_fleet.fleet.call("/once/a", CUT_NODE).status == 500
+    assert [bad for *_, bad in outcomes] == [True]
