--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -109,13 +109,16 @@
         self.avoided_until: dict[str, float] = {}
         self.nodes_digest = ""
         self.greenlet: gevent.Greenlet | None = None
+        self.stopped = False
 
     def start(self) -> None:
         """Starts the greenlet that searches for a relay and polls it."""
-        self.greenlet = gevent.spawn(self.run)
+        if not self.stopped:
+            self.greenlet = gevent.spawn(self.run)
 
     def stop(self) -> None:
-        """Stops the greenlet."""
+        """Stops the greenlet, also one that is yet to be started."""
+        self.stopped = True
         if self.greenlet is not None:
             self.greenlet.kill(block=False)
 
