Leave idle connections alone once all links of a node hang

A node that knows itself cut off from all servers closed the idle connections only to those servers that it had tried, so that a request could still wait 0.35 s on one from before the cut. All are left alone now.

--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -114,6 +114,8 @@
                 connection failed while sending.
         """
         instance_key = call.server.instance_key
+        if self.paths.links.is_hung(call.server):
+            self.drop_idle(call.server)
         connection = self.take_idle(
             instance_key, call.repeatable
         ) or self.connect(call)
--- a/test/test_peer_paths.py
+++ b/test/test_peer_paths.py
@@ -1,5 +1,7 @@
 """Tests of the paths that nodes open to servers for each other."""
 
+import time
+
 import gevent
 import msgspec
 import pytest
@@ -12,6 +14,7 @@
     wait_for,
 )
 
+from amaranthlug.protocol.routing.plain_exchange import SECOND_SERVER_S
 from amaranthlug.protocol.routing.server_paths import PathRequest
 from amaranthlug.transport.routing.http_client import (
     HttpConnection,
@@ -207,3 +210,40 @@
         server.faults.status = 500
     assert cut_fleet.fleet.call("/once/a", CUT_NODE).status == 500
     assert [bad for *_, bad in outcomes] == [True]
+
+
+# Guards against a request that waits on an idle connection from before the cut:
+# its server was not among those whose links were found to be lost.
+def test_idle_connections_are_not_used_once_all_links_hang():
+    """A node that is cut off from all servers knows them for dead."""
+    fleet = CutFleet(nodes=3, servers=4)
+    try:
+        node = fleet.fleet.nodes[CUT_NODE]
+        for number in range(12):
+            answer = fleet.fleet.call(
+                "/safe/a", CUT_NODE, request_id=f"before-{number}"
+            )
+        preferred = answer.headers["server-seal"].removeprefix("seal-")
+        fleet.cut({CUT_NODE}, HANG)
+        for server in node.servers.usable_servers("pool"):
+            if server.server_id != preferred:
+                node.links.record_lost(server, hung=True)
+        assert node.links.is_cut()
+        for number in range(12):
+            started_at = time.monotonic()
+            answer = fleet.fleet.call(
+                "/safe/a", CUT_NODE, request_id=f"after-{number}"
+            )
+            assert answer.status == 200
+            assert time.monotonic() - started_at < SECOND_SERVER_S
+    finally:
+        fleet.stop()
+
+
+def test_relay_client_that_was_stopped_is_not_started(cut_fleet):
+    """A node may be stopped while it still waits to join the fleet."""
+    client = cut_fleet.fleet.nodes[1].relay_client
+    client.stop()
+    stopped = client.greenlet
+    client.start()
+    assert client.greenlet is stopped
