Send nothing from a relay client that was stopped

test_nodes_of_a_stopped_fleet_send_nothing still failed in 1 of 4 runs: a client that was killed while it searched for a relay went on with it in 1 of 8 stops, for a reason that is not traced.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -126,7 +126,7 @@
         """Polls a relay while there is one and reads the store otherwise."""
         gevent.sleep(FIRST_SEARCH_DELAY_S)
         self.fleet.follower.read_once()
-        while True:
+        while not self.stopped:
             while (relay := self.find_relay()) is not None:
                 self.poll_relay(relay)
             self.switch_to_store()
@@ -217,6 +217,8 @@
             hold_s: Time for which it may wait for a change, in seconds.
             answer_s: Longest wait for its answer beyond that, in seconds.
         """
+        if self.stopped:
+            return False
         request = RelayRequest(
             self.fleet.describe_node(),
             {f.topic: f.position for f in self.followers},
