Give each process of a test, soak and experiment a loopback address of its own

Cause: all processes of all runs shared 127.0.0.1 and ports that were found free and released again.

Change: loopback.py reserves an address of 127.128.0.0/9 by holding a UDP port on it, so that it is exact among all processes of the machine. Ports that are told before their listener starts are given out in turn, so that the port of an ended listener is not soon used again. Connections go out from 127.0.0.1 and take no port of a listener.

Ruled out: an address derived from the process id alone, since a child must be told its address before it has an id.

--- a/benchmarks/fleet_node.py
+++ b/benchmarks/fleet_node.py
@@ -45,6 +45,7 @@
 from amaranthlug.transport.platform_clients import HttpLogService
 from amaranthlug.transport.server import NodeServer
 from amaranthlug.transport.statsd_metrics import StatsdMetrics
+from amaranthlug_standins.loopback import process_address
 
 REQUESTS_PER_S = 41
 ORGANISATIONS = [
@@ -102,9 +103,9 @@
         """Creates and starts all components."""
         timings, timers = Timings(), TimerService()
         self.metrics, keys = StatsdMetrics(), PeerKeys({"k": "bench"})
-        self.server = NodeServer("127.0.0.1:0", self.app)
+        self.server = NodeServer(f"{process_address()}:0", self.app)
         self.server.start()
-        address = f"127.0.0.1:{self.server.server_port}"
+        address = f"{process_address()}:{self.server.server_port}"
         self.me = me = Member(
             address, zone, f"tw-north-{uuid.uuid4().hex[:12]}"
         )
--- a/benchmarks/path_node.py
+++ b/benchmarks/path_node.py
@@ -20,6 +20,7 @@
 from amaranthlug.transport.app import NodeView, create_app
 from amaranthlug.transport.engine_client import HttpEngine
 from amaranthlug.transport.server import NodeServer, freeze_heap
+from amaranthlug_standins.loopback import process_address
 
 MAX_IN_FLIGHT = 2_000
 """Limit of requests in flight, as in the default settings."""
@@ -57,7 +58,7 @@
     bench = Bench(engine=HttpEngine(), catalog=catalog, bound=MAX_IN_FLIGHT)
     bench.sender.chooser = bench.dispatcher.chooser = NoReportChooser()
     bench.sender.servers = RoundRobinServers(bench.catalog)
-    server = NodeServer("127.0.0.1:0", None)
+    server = NodeServer(f"{process_address()}:0", None)
     server.application = create_app(
         bench.dispatcher,
         None,
@@ -69,7 +70,7 @@
     )
     server.start()
     freeze_heap()
-    address = f"127.0.0.1:{server.server_port}"
+    address = f"{process_address()}:{server.server_port}"
     print(json.dumps({"address": address}), flush=True)
     gevent.get_hub().threadpool.apply(sys.stdin.read)
 
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/rolling_replace.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/experiments/rolling_replace.py
@@ -17,9 +17,8 @@
 from amaranthlug_standins.fleet_parts import (
     FleetOptions,
     RunningNode,
-    free_ports,
 )
-from amaranthlug_standins.standin import LOOPBACK
+from amaranthlug_standins.loopback import listener_addresses
 from amaranthlug_standins.trial import Progress
 
 LOAD_S = 28.0
@@ -42,7 +41,7 @@
     settings = dataclasses.replace(
         old.settings,
         name=f"{old.settings.name}-new",
-        address=f"{LOOPBACK}:{free_ports(1)[0]}",
+        address=listener_addresses(1).pop(),
         seed=(old.settings.seed or 0) + NODE_COUNT,
     )
     fleet.register_vm(settings.address, settings.zone, "entry")
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fault_proxy.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fault_proxy.py
@@ -23,6 +23,7 @@
 from gevent.server import StreamServer
 
 from amaranthlug_standins.answers import hash_fraction
+from amaranthlug_standins.loopback import process_address
 from amaranthlug_standins.proxy_rules import (
     NO_FAULT,
     TO_DESTINATION,
@@ -32,7 +33,6 @@
     combine_rules,
 )
 from amaranthlug_standins.standin import (
-    LOOPBACK,
     StandIn,
     StandInConfig,
     reset_socket,
@@ -160,13 +160,13 @@
         self.draws = 0
         self.connections: set[Connection] = set()
         self.server = StreamServer(
-            (LOOPBACK, 0), self.handle_connection, backlog=1024
+            (process_address(), 0), self.handle_connection, backlog=1024
         )
 
     def start(self) -> str:
         """Listens and returns the address."""
         self.server.start()
-        return f"{LOOPBACK}:{self.server.server_port}"
+        return f"{process_address()}:{self.server.server_port}"
 
     def stop(self) -> None:
         """Stops listening and resets open connections."""
@@ -178,7 +178,7 @@
         port = self.server.server_port
         self.server.close()
         self.server = StreamServer(
-            (LOOPBACK, port), self.handle_connection, backlog=1024
+            (process_address(), port), self.handle_connection, backlog=1024
         )
 
     def reopen_port(self) -> None:
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet.py
@@ -30,13 +30,13 @@
     FleetOptions,
     RunningNode,
     RunningStandIn,
-    free_ports,
 )
 from amaranthlug_standins.http_json import call_json
 from amaranthlug_standins.log import LogStandIn
+from amaranthlug_standins.loopback import listener_addresses
 from amaranthlug_standins.rating import RatingStandIn
 from amaranthlug_standins.service import ServiceConfig, ServiceStandIn
-from amaranthlug_standins.standin import LOOPBACK, StandIn
+from amaranthlug_standins.standin import StandIn
 from amaranthlug_standins.vm_list import VmListConfig, VmListStandIn
 from amaranthlug_standins.weights import WeightsConfig, WeightsStandIn
 
@@ -262,7 +262,7 @@
         """Returns the settings of all nodes, on free ports."""
         count = self.options.nodes or self.deployment.nodes
         zones = self.deployment.zones
-        addresses = [f"{LOOPBACK}:{port}" for port in free_ports(count)]
+        addresses = listener_addresses(count)
         platform = PlatformSettings(
             **{
                 name: f"http://{self.parts[name].address}"
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/fleet_parts.py
@@ -1,9 +1,7 @@
 """Options, running stand-ins and running nodes of a fleet."""
 
 import dataclasses
-import random
 import signal
-import socket
 import subprocess
 from collections.abc import Callable
 from typing import Any
@@ -14,10 +12,7 @@
 from amaranthlug_standins.http_json import CONNECTION_ERRORS, call_json
 from amaranthlug_standins.log import LogConfig
 from amaranthlug_standins.rating import RatingConfig
-from amaranthlug_standins.standin import LOOPBACK, StandIn
-
-NODE_PORTS = range(18_000, 32_000)
-"""Ports that nodes listen on, below the usual ephemeral port range."""
+from amaranthlug_standins.standin import StandIn
 
 
 @dataclasses.dataclass(frozen=True)
@@ -136,26 +131,3 @@
             self.child.kill()
         if self.node is not None:
             self.node.halt()
-
-
-def free_ports(count: int) -> list[int]:
-    """Returns free loopback ports, all different.
-
-    An ephemeral port could be taken by an outgoing connection before its
-    node binds it, so the ports lie below that range.
-    """
-    reserved: list[socket.socket] = []
-    for port in random.sample(NODE_PORTS, len(NODE_PORTS)):
-        if len(reserved) == count:
-            break
-        sock = socket.socket()
-        try:
-            sock.bind((LOOPBACK, port))
-        except OSError:
-            sock.close()
-            continue
-        reserved.append(sock)
-    ports = [int(sock.getsockname()[1]) for sock in reserved]
-    for sock in reserved:
-        sock.close()
-    return ports
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/standin.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/standin.py
@@ -19,7 +19,8 @@
 from falcon.media import JSONHandler
 from gevent import pywsgi
 
-LOOPBACK = "127.0.0.1"
+from amaranthlug_standins.loopback import process_address
+
 CONTROL_PATHS = ("/fault", "/seen")
 SOCKET_ENVIRON_KEY = "amaranthlug.socket"
 """Key of the connection's socket in the WSGI environment."""
@@ -54,7 +55,7 @@
     def __init__(self, port: int, app: Any):
         """Creates a server on loopback that does not listen yet."""
         super().__init__(
-            (LOOPBACK, port),
+            (process_address(), port),
             app,
             log=None,
             handler_class=SocketHandler,
@@ -137,10 +138,10 @@
         """Listens on the configured ports and returns itself."""
         self.server = Server(self.config.port, self.app)
         self.server.start()
-        self.address = f"{LOOPBACK}:{self.server.server_port}"
+        self.address = f"{process_address()}:{self.server.server_port}"
         self.control = Server(self.config.control_port, self.app)
         self.control.start()
-        self.control_address = f"{LOOPBACK}:{self.control.server_port}"
+        self.control_address = f"{process_address()}:{self.control.server_port}"
         return self
 
     def stop(self) -> None:
--- a/test/_node.py
+++ b/test/_node.py
@@ -8,6 +8,7 @@
 from amaranthlug.transport.engine_client import HttpEngine
 from amaranthlug.transport.server import NodeServer
 from amaranthlug.transport.service_client import HttpPlainService
+from amaranthlug_standins.loopback import process_address
 
 
 class FakeEntries:
@@ -42,7 +43,7 @@
             bench.budget,
             bench.metrics,
         )
-        self.server = NodeServer("127.0.0.1:0", None, stall_s)
+        self.server = NodeServer(f"{process_address()}:0", None, stall_s)
         self.view = NodeView(
             5.0, lambda: self.server.leaving, lambda: {"revision": 1}
         )
--- a/test/_openai_caller.py
+++ b/test/_openai_caller.py
@@ -6,11 +6,11 @@
 import openai
 
 
-def main(port, key):
+def main(address, key):
     """Sends a whole, a streamed and an invalid request."""
     client = openai.OpenAI(
         api_key=key,
-        base_url=f"http://127.0.0.1:{port}/v1",
+        base_url=f"http://{address}/v1",
         default_headers={"X-Request-Kind": "describe"},
         max_retries=0,
     )
--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -22,11 +22,11 @@
 from amaranthlug_platform_standins.soak_fleet import (
     HOST,
     LISTENER_NAMES,
-    find_free_addresses,
     make_route,
 )
 from amaranthlug_platform_standins.store import StoreStandIn
 from amaranthlug_standins.fault_proxy import FaultProxy
+from amaranthlug_standins.loopback import listener_addresses
 
 KEY = "key-1"
 
@@ -129,7 +129,7 @@
             behind_proxy: Nodes reach the servers through a proxy.
             **server: Arguments of `ServerStandIn`.
         """
-        addresses = find_free_addresses(1 + servers)
+        addresses = listener_addresses(1 + servers)
         self.store = StoreStandIn(addresses.pop())
         self.store.start()
         self.store.put(OPERATOR_TOPIC, "config", make_wire_config())
@@ -159,7 +159,7 @@
             "addresses": dict(
                 zip(
                     LISTENER_NAMES,
-                    find_free_addresses(len(LISTENER_NAMES)),
+                    listener_addresses(len(LISTENER_NAMES)),
                     strict=True,
                 )
             ),
--- a/test/_stub_engine.py
+++ b/test/_stub_engine.py
@@ -6,6 +6,8 @@
 from _fakes import WORDS, end_events, token_event
 from gevent import pywsgi
 
+from amaranthlug_standins.loopback import process_address
+
 
 class CountingServer(pywsgi.WSGIServer):
     """Counts accepted connections.
@@ -48,7 +50,7 @@
         self.deleted = []
         self.sent = 0
         self.server = CountingServer(
-            ("127.0.0.1", 0), self.app, log=None, error_log=None
+            (process_address(), 0), self.app, log=None, error_log=None
         )
         self.server.start()
 
@@ -65,7 +67,7 @@
 
     @property
     def address(self):
-        return f"127.0.0.1:{self.server.server_port}"
+        return f"{process_address()}:{self.server.server_port}"
 
     def app(self, environ, start_response):
         raw = environ["wsgi.input"].read()
--- a/test/test_caller_connections.py
+++ b/test/test_caller_connections.py
@@ -12,7 +12,7 @@
     render_request,
 )
 from amaranthlug.transport.routing.http_server import HttpServer
-from amaranthlug_platform_standins.soak_fleet import find_free_addresses
+from amaranthlug_standins.loopback import listener_addresses
 
 IDLE_S = 0.2
 """Time after which an idle connection is closed in these tests."""
@@ -33,7 +33,7 @@
         self.failure: Exception | None = None
         self.fails_late = False
         self.delay_s = 0.0
-        self.address = find_free_addresses(1).pop()
+        self.address = listener_addresses(1).pop()
         self.server = HttpServer(self.address, self.handle, lambda: self.limits)
         self.server.start()
 
--- a/test/test_crashing_requests.py
+++ b/test/test_crashing_requests.py
@@ -20,8 +20,8 @@
 from amaranthlug.routed_node import RoutedNode
 from amaranthlug.transport.routing.http_client import HttpConnection
 from amaranthlug_platform_standins.server import ServerFaults
-from amaranthlug_platform_standins.soak_fleet import find_free_addresses
 from amaranthlug_standins.fault_proxy import FaultProxy
+from amaranthlug_standins.loopback import listener_addresses
 
 NODES = 4
 SERVERS = 4
@@ -295,7 +295,7 @@
 def test_refused_connection_shows_that_a_server_ended():
     """Nobody listens at its address."""
     pool = make_pool()
-    server = make_server(address=find_free_addresses(1).pop())
+    server = make_server(address=listener_addresses(1).pop())
     assert pool.check_path(server) is PathState.REFUSED
 
 
@@ -323,7 +323,7 @@
 def test_path_that_accepts_for_a_dead_server(how, state):
     """Only one that holds connections looks like that of a live server."""
     proxy = FaultProxy.from_config()
-    [target] = find_free_addresses(1)
+    [target] = listener_addresses(1)
     address = proxy.add_link("node", "server", target)
     proxy.links[address].when_down = how
     pool = make_pool()
--- a/test/test_endless_engine_answers.py
+++ b/test/test_endless_engine_answers.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from amaranthlug.transport.http_pool import HttpPools
+from amaranthlug_standins.loopback import process_address
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -24,9 +25,9 @@
                 sock.sendall(repeated)
                 gevent.sleep(0.001)
 
-        servers.append(StreamServer(("127.0.0.1", 0), serve))
+        servers.append(StreamServer((process_address(), 0), serve))
         servers[-1].start()
-        return f"127.0.0.1:{servers[-1].server_port}"
+        return f"{process_address()}:{servers[-1].server_port}"
 
     yield start
     for server in servers:
--- a/test/test_fleet.py
+++ b/test/test_fleet.py
@@ -8,7 +8,7 @@
 from amaranthlug_standins.children import ChildError
 from amaranthlug_standins.deployments import hengyun, sample_deployments
 from amaranthlug_standins.fleet import Fleet
-from amaranthlug_standins.fleet_parts import FleetOptions, free_ports
+from amaranthlug_standins.fleet_parts import FleetOptions
 from amaranthlug_standins.mixes import sample_mix
 from amaranthlug_ui.experiment import MISSING_PACKAGE_MESSAGE, experiment
 
@@ -82,11 +82,6 @@
     assert not any(child.running() for child in seen)
 
 
-def test_free_ports_are_different():
-    """Two nodes with the same port would make a fleet fail at random."""
-    assert len(set(free_ports(50))) == 50
-
-
 def test_experiment_lists_and_refuses_unknown_names():
     """The answer to an unknown name must list the known ones."""
     runner = CliRunner()
--- a/test/test_peer_messages.py
+++ b/test/test_peer_messages.py
@@ -14,6 +14,7 @@
 from amaranthlug.transport.peer_client import HttpPeerLink
 from amaranthlug.transport.peer_wire import decode_message, encode_message
 from amaranthlug.transport.statsd_metrics import StatsdMetrics
+from amaranthlug_standins.loopback import process_address
 
 KEYS = {"k2": "new", "k1": "old"}
 
@@ -31,10 +32,10 @@
             PeerKeys(KEYS), self.handlers, self.member, self.metrics
         )
         self.server = pywsgi.WSGIServer(
-            ("127.0.0.1", port), self.app, log=None, spawn=Pool()
+            (process_address(), port), self.app, log=None, spawn=Pool()
         )
         self.server.start()
-        self.address = f"127.0.0.1:{self.server.server_port}"
+        self.address = f"{process_address()}:{self.server.server_port}"
 
     def app(self, environ, start_response):
         """Passes a request to the receiver (WSGI)."""
@@ -104,9 +105,11 @@
     When a peer is killed, an exception would end the tasks that copy bills
     and fail requests.
     """
-    server = StreamServer(("127.0.0.1", 0), lambda sock, _: sock.recv(1))
+    server = StreamServer((process_address(), 0), lambda sock, _: sock.recv(1))
     server.start()
-    reply = make_link().call(f"127.0.0.1:{server.server_port}", "echo", {}, 2.0)
+    reply = make_link().call(
+        f"{process_address()}:{server.server_port}", "echo", {}, 2.0
+    )
     server.stop()
     assert reply.is_err() and not reply.err_value.not_received
 
@@ -184,9 +187,9 @@
         sock.sendall(answer)
         sock.close()
 
-    server = StreamServer(("127.0.0.1", 0), handle)
+    server = StreamServer((process_address(), 0), handle)
     server.start()
-    address = f"127.0.0.1:{server.server_port}"
+    address = f"{process_address()}:{server.server_port}"
     reply = make_link().call(address, "echo", {}, 2.0)
     assert not reply.err_value.not_received
     server.stop()
--- a/test/test_platform_clients.py
+++ b/test/test_platform_clients.py
@@ -18,6 +18,7 @@
     HttpWeightStore,
 )
 from amaranthlug.transport.statsd_metrics import StatsdMetrics
+from amaranthlug_standins.loopback import process_address
 
 
 class StubPlatform:
@@ -28,10 +29,10 @@
         self.replies = []
         self.requests = []
         self.server = pywsgi.WSGIServer(
-            ("127.0.0.1", 0), self.app, log=None, error_log=None
+            (process_address(), 0), self.app, log=None, error_log=None
         )
         self.server.start()
-        self.url = f"http://127.0.0.1:{self.server.server_port}"
+        self.url = f"http://{process_address()}:{self.server.server_port}"
 
     def app(self, environ, start_response):
         """Sends the next scripted reply (WSGI)."""
--- a/test/test_server.py
+++ b/test/test_server.py
@@ -13,6 +13,7 @@
 from geventhttpclient import HTTPClient
 
 from amaranthlug.state.refusal import RefusalCode, refuse
+from amaranthlug_standins.loopback import process_address
 
 WHOLE = "".join(word + " " for word in WORDS)
 CALLER = {"Authorization": f"Bearer {KEY}", "X-Request-Kind": "describe"}
@@ -36,7 +37,7 @@
         "stream": stream,
         **body,
     }
-    client = HTTPClient("127.0.0.1", node.port, network_timeout=10)
+    client = HTTPClient(process_address(), node.port, network_timeout=10)
     raw = json.dumps(body) if method == "POST" else ""
     target = path or "/v1/chat/completions"
     response = client.request(method, target, raw, headers)
@@ -53,7 +54,7 @@
             **body,
         }
     )
-    sock = socket.create_connection(("127.0.0.1", node.port), timeout=10)
+    sock = socket.create_connection((process_address(), node.port), timeout=10)
     head = "".join(f"{name}: {value}\r\n" for name, value in CALLER.items())
     sock.sendall(
         f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n{head}"
@@ -256,7 +257,13 @@
     # The blocking client needs its own process; here it would block the node.
     script = ROOT / "test" / "_openai_caller.py"
     output = subprocess.check_output(
-        [sys.executable, str(script), str(node.port), KEY], timeout=20
+        [
+            sys.executable,
+            str(script),
+            f"{process_address()}:{node.port}",
+            KEY,
+        ],
+        timeout=20,
     )
     assert json.loads(output) == {
         "whole": WHOLE,
--- a/test/test_session_versions.py
+++ b/test/test_session_versions.py
@@ -5,7 +5,7 @@
 
 from amaranthlug_platform.records import OPERATOR_TOPIC
 from amaranthlug_platform_standins.server import ServerStandIn
-from amaranthlug_platform_standins.soak_fleet import find_free_addresses
+from amaranthlug_standins.loopback import listener_addresses
 
 NODES = 3
 SESSIONS = 120
@@ -28,7 +28,7 @@
             "rollout/pool",
             {"service": "pool", "target": "v2", "duration_s": duration_s},
         )
-        address = find_free_addresses(1).pop()
+        address = listener_addresses(1).pop()
         fleet.servers.append(
             ServerStandIn(
                 fleet.store, address, "s-new", "pool", version="v2", events=1
--- a/test/test_sockets.py
+++ b/test/test_sockets.py
@@ -10,6 +10,7 @@
 from gevent import socket as gsocket
 
 from amaranthlug.transport.routing import sockets
+from amaranthlug_standins.loopback import process_address
 
 SO_ATTACH_FILTER = 26
 SO_DETACH_FILTER = 27
@@ -35,7 +36,7 @@
 @pytest.fixture
 def connection():
     """Both ends of a connection; the first one has the options set."""
-    with gsocket.create_server(("127.0.0.1", 0)) as listener:
+    with gsocket.create_server((process_address(), 0)) as listener:
         host, port = listener.getsockname()
         near = sockets.connect(f"{host}:{port}", 1.0)
         far, _ = listener.accept()
@@ -101,7 +102,7 @@
             super().connect(address)
             raise TimeoutError("timed out")
 
-    with gsocket.create_server(("127.0.0.1", 0)) as listener:
+    with gsocket.create_server((process_address(), 0)) as listener:
         host, port = listener.getsockname()
         monkeypatch.setattr(sockets.gsocket, "socket", StalledSocket)
         sock = sockets.connect(f"{host}:{port}", 0.1)
--- a/test/test_store_restore.py
+++ b/test/test_store_restore.py
@@ -23,7 +23,7 @@
 )
 from amaranthlug_platform.store_client import StoreClient
 from amaranthlug_platform_standins.server import ServerStandIn
-from amaranthlug_platform_standins.soak_fleet import find_free_addresses
+from amaranthlug_standins.loopback import listener_addresses
 
 NODES = 3
 """One of them is the relay of the others."""
@@ -76,7 +76,7 @@
 
     def start_server(self, server_id: str, **more) -> ServerStandIn:
         """Starts one more server."""
-        address = find_free_addresses(1).pop()
+        address = listener_addresses(1).pop()
         server = ServerStandIn(self.store, address, server_id, "pool", **more)
         self.fleet.servers.append(server.start())
         return server
