Connect to other nodes from the address under which this node is listed

Cause: a node opens paths to servers only for hosts of listed nodes, by the source of their connection. A VM with several addresses, and each process of a test since, connects from another one and gets 403.

Change: connections to nodes are bound to the host of the peers' listener. test_only_nodes_of_the_fleet_get_a_path also asks from an unlisted host.

--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
@@ -170,13 +170,15 @@
         self.awaiting_response = False
 
     @classmethod
-    def open(cls, address: str, timeout_s: float) -> "HttpConnection":
-        """Connects to `host:port`.
+    def open(
+        cls, address: str, timeout_s: float, source_host: str = ""
+    ) -> "HttpConnection":
+        """Connects to `host:port`, from `source_host` if that is given.
 
         Raises:
             OSError: The connection was refused or not established in time.
         """
-        return cls(connect(address, timeout_s))
+        return cls(connect(address, timeout_s, source_host))
 
     def is_open_and_idle(self) -> bool:
         """Returns whether a connection is open and has nothing to read."""
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -109,8 +109,14 @@
 class HttpPeers:
     """Sends messages of all kinds, on connections that it keeps."""
 
-    def __init__(self) -> None:
-        """Creates a client without connections."""
+    def __init__(self, source_host: str = "") -> None:
+        """Creates a client without connections.
+
+        Args:
+            source_host: IP address from which connections come, by which other
+                nodes recognise this one; by default that of the route.
+        """
+        self.source_host = source_host
         self.connections: collections.OrderedDict[str, list[HttpConnection]] = (
             collections.OrderedDict()
         )
@@ -175,9 +181,7 @@
         address = node.peer_address
         body = msgspec.json.encode(PathRequest(server.instance_name))
         headers = [("Host", address), ("Content-Length", str(len(body)))]
-        connection = HttpConnection.open(
-            address, min(CONNECT_TIMEOUT_S, timeout_s)
-        )
+        connection = self.open_connection(address, timeout_s)
         try:
             head, content = connection.request(
                 render_request("POST", OPEN_PATH, headers, body),
@@ -243,7 +247,17 @@
             if connection.is_open_and_idle():
                 return connection
             connection.close()
-        return HttpConnection.open(address, min(CONNECT_TIMEOUT_S, timeout_s))
+        return self.open_connection(address, timeout_s)
+
+    def open_connection(self, address: str, timeout_s: float) -> HttpConnection:
+        """Opens a connection to a node.
+
+        Raises:
+            OSError: The node could not be reached.
+        """
+        return HttpConnection.open(
+            address, min(CONNECT_TIMEOUT_S, timeout_s), self.source_host
+        )
 
     def keep_connection(self, address: str, connection: HttpConnection) -> None:
         """Keeps a connection for the next message, or closes a surplus one."""
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
@@ -44,15 +44,25 @@
     return host, int(port)
 
 
-def connect(address: str, timeout_s: float) -> socket.socket:
+def connect(
+    address: str, timeout_s: float, source_host: str = ""
+) -> socket.socket:
     """Opens a connection to `host:port` with the options set.
 
+    Args:
+        address: `host:port` to connect to.
+        timeout_s: Longest wait, in seconds.
+        source_host: IP address from which the connection comes; by default
+            that of the route.
+
     Raises:
         OSError: The connection was refused or not established in time.
     """
     sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.settimeout(timeout_s)
+        if source_host:
+            sock.bind((source_host, 0))
         try:
             sock.connect(split_address(address))
         except TimeoutError:
--- a/test/_platform_fleet.py
+++ b/test/_platform_fleet.py
@@ -13,6 +13,7 @@
     render_request,
 )
 from amaranthlug.transport.routing.peer_http import HttpPeers
+from amaranthlug.transport.routing.sockets import split_address
 from amaranthlug_platform.headers import PlatformHeaders
 from amaranthlug_platform.listeners import NodeListeners
 from amaranthlug_platform.main import TOPICS
@@ -176,7 +177,7 @@
             PlatformRecords(),
             TopicNames(TOPICS.operator, TOPICS.servers, TOPICS.status),
             PlatformHeaders(),
-            HttpPeers(),
+            HttpPeers(split_address(settings.addresses.peers)[0]),
             self.lines,
         )
         listeners = NodeListeners(node)
--- a/test/test_peer_paths.py
+++ b/test/test_peer_paths.py
@@ -22,6 +22,7 @@
 )
 from amaranthlug.transport.routing.peer_paths import OPEN_PATH
 from amaranthlug.transport.routing.upstreams import open_connection
+from amaranthlug_standins.loopback import process_address
 
 CUT_NODE = 0
 ALL_EVENTS = [1, 2, 3, 4, 5]
@@ -48,11 +49,11 @@
     return next(line for line in lines if line.startswith(name))
 
 
-def ask_for_path(address: str, instance: str) -> int:
+def ask_for_path(address: str, instance: str, source_host: str = "") -> int:
     """Asks a node for a path to a server; returns the status."""
     body = msgspec.json.encode(PathRequest(instance))
     headers = [("Host", address), ("Content-Length", str(len(body)))]
-    connection = HttpConnection.open(address, 1.0)
+    connection = HttpConnection.open(address, 1.0, source_host)
     head, _ = connection.request(
         render_request("POST", OPEN_PATH, headers, body), 1.0
     )
@@ -178,12 +179,14 @@
     address = node.settings.addresses.peers
     server = cut_fleet.fleet.servers[0]
     instance = f"{server.server_id}@{server.started_ms}"
-    assert ask_for_path(address, instance) == 200
-    assert ask_for_path(address, "other@1") == 502
+    host = process_address()
+    assert ask_for_path(address, instance, host) == 200
+    assert ask_for_path(address, "other@1", host) == 502
+    assert ask_for_path(address, instance) == 403
     node.peer_paths.limit = 0
-    assert ask_for_path(address, instance) == 503
+    assert ask_for_path(address, instance, host) == 503
     node.peer_paths.nodes = list
-    assert ask_for_path(address, instance) == 403
+    assert ask_for_path(address, instance, host) == 403
 
 
 def test_no_version_is_blamed_for_a_lost_link(cut_fleet):
