Let two relays of a large fleet read the store for the others

Change: above four relays only two, in different zones, read the store; the others get topics and reports from them (/peer/topics) and write only their own report. A relay whose report is not confirmed within 0.5 s refuses its members, as they would vanish from the list of nodes. At its start a node asks a relay for the topics, reads nothing but the configuration until there is one, and reports once. store_calls.* counts calls by kind. Fleets of up to four relays read as before.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_suspects.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_suspects.py
@@ -16,7 +16,7 @@
 from amaranthlug.coordination.boot_clock import boot_seconds
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.coordination.routing.fleet_view import FleetView
-from amaranthlug.coordination.routing.relay_client import zone_relays
+from amaranthlug.coordination.routing.relay_roles import zone_relays
 from amaranthlug.state.attribution import (
     Crashes,
     explain,
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -37,6 +37,10 @@
 MAX_MEMBER_AGE_S = 1.8
 """Time without an exchange after which a member (a node that uses this one as
 its relay) counts as gone, in seconds; two of its exchange periods."""
+MAX_WRITE_S = 0.5
+"""Time after which a report that the store has not confirmed counts as failed,
+in seconds. Members must find another relay that reports them before their last
+report expires."""
 REPORT_REMOVAL_AGE_S = 60.0
 """Age at which the first live reporter, by name, removes a report from the
 store, in seconds."""
@@ -111,6 +115,8 @@
         )
         self.summary: FleetSummary | None = None
         self.summary_received_at = -math.inf
+        self.write_failed = False
+        self.write_started_at = math.inf
         self.receive_suspects: Callable[[list[SuspectFact]], object] | None = (
             None
         )
@@ -149,16 +155,28 @@
     def sync(self) -> None:
         """Publishes this node's fleet report and reads those of the others.
 
-        Does nothing while the circuit breaker is open. Before the first report
-        it reads, so that the report of a node that starts again does not
-        replace what only the one before knew.
+        Does nothing while the circuit breaker is open.
         """
         if not self.follower.breaker.is_closed():
             return
+        self.announce()
+        if self.follower.reads_directly.is_set():
+            self.follower.read_once()
+
+    def announce(self) -> None:
+        """Publishes this node's fleet report.
+
+        Before the first report it reads, so that the report of a node that
+        starts again does not replace what only the one before knew.
+        """
         if not self.follower.has_data():
             self.follower.read_once()
         self.publish()
-        self.follower.read_once()
+
+    def can_publish(self) -> bool:
+        """Returns whether the store takes this node's reports."""
+        waited_s = self.clock() - self.write_started_at
+        return not self.write_failed and waited_s < MAX_WRITE_S
 
     def publish(self) -> None:
         """Writes a fleet report; a failed write is not retried.
@@ -172,7 +190,10 @@
         records += [
             (key, None) for key in self.removable_report_keys(report.reporter)
         ]
+        self.write_started_at = self.clock()
         result = self.store.append(NODES_TOPIC, records)
+        self.write_started_at = math.inf
+        self.write_failed = isinstance(result, Err)
         if isinstance(result, Err):
             log.info(
                 "could not write the fleet report: %s",
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay.py
@@ -16,6 +16,8 @@
     RelayAnswer,
     RelayRequest,
     SentRecord,
+    TopicsAnswer,
+    TopicsRequest,
     TopicUpdate,
 )
 from amaranthlug.coordination.routing.store_era import StoreEra
@@ -37,7 +39,12 @@
 
 
 class Relay:
-    """Answers exchanges of other nodes while this node reads the store."""
+    """Answers exchanges of other nodes while this node knows the store.
+
+    Attributes:
+        is_fed: Returns whether a store reader supplies this node; set by the
+            node that has a relay client.
+    """
 
     def __init__(
         self,
@@ -53,12 +60,25 @@
         self.era = era
         self.is_leaving = is_leaving
         self.clock = clock
+        self.is_fed: Callable[[], bool] = lambda: False
 
     def can_serve(self) -> bool:
-        """Returns whether this node reads the store directly without errors."""
-        return not self.is_leaving() and all(
+        """Returns whether this node can be the relay of others.
+
+        A relay that a store reader supplies must still reach the store, since
+        it writes the report of its members there.
+        """
+        if self.is_leaving():
+            return False
+        if self.is_fed():
+            return self.fleet.can_publish()
+        return self.reads_store(self.followers)
+
+    def reads_store(self, followers: list[TopicFollower]) -> bool:
+        """Returns whether this node reads topics directly without errors."""
+        return all(
             follower.reads_directly.is_set() and follower.is_healthy()
-            for follower in self.followers
+            for follower in followers
         )
 
     def answer(self, request: RelayRequest) -> RelayAnswer | None:
@@ -72,16 +92,11 @@
         if not self.can_serve() or self.is_behind(request):
             return None
         self.fleet.update_member(request.report)
-        while self.can_serve() and not self.has_changes(request):
-            if self.clock() - started_at >= request.hold_s:
-                break
-            gevent.sleep(CHANGE_CHECK_S)
-        self.wait_for_copy(until)
-        if not self.can_serve() or self.is_behind(request):
+        topics = self.wait_for_topics(
+            request, self.followers, self.can_serve, started_at
+        )
+        if topics is None:
             return None
-        topics = {
-            f.topic: self.topic_update(f, request) for f in self.followers
-        }
         summary = self.fleet.summary_for(request.report.entry.node)
         digest = digest_of(summary.nodes)
         if digest == request.nodes_digest:
@@ -94,6 +109,52 @@
             self.era.current,
         )
 
+    def answer_relay(self, request: TopicsRequest) -> TopicsAnswer | None:
+        """Answers another relay, with the reports of the fleet as a topic.
+
+        Returns None if the caller should ask another store reader.
+        """
+        followers = [*self.followers, self.fleet.follower]
+        started_at = self.clock()
+        topics = self.wait_for_topics(
+            request, followers, self.is_store_reader, started_at
+        )
+        if topics is None:
+            return None
+        held_s = self.clock() - started_at
+        return TopicsAnswer(topics, held_s, self.era.current)
+
+    def is_store_reader(self) -> bool:
+        """Returns whether this node can supply other relays."""
+        return (
+            not self.is_leaving()
+            and self.reads_store(self.followers)
+            and self.fleet.follower.reads_directly.is_set()
+            and self.fleet.follower.has_data()
+        )
+
+    def wait_for_topics(
+        self,
+        request: RelayRequest | TopicsRequest,
+        followers: list[TopicFollower],
+        can_serve: Callable[[], bool],
+        started_at: float,
+    ) -> dict[str, TopicUpdate] | None:
+        """Returns the topics once one changed or the hold time has passed.
+
+        Returns None if this node cannot serve or knows an older era.
+        """
+        until = started_at + request.hold_s + RESTORE_WAIT_S
+        self.wait_for_copy(until)
+        while can_serve() and not self.has_changes(followers, request):
+            if self.clock() - started_at >= request.hold_s:
+                break
+            gevent.sleep(CHANGE_CHECK_S)
+        self.wait_for_copy(until)
+        if not can_serve() or self.is_behind(request):
+            return None
+        return {f.topic: self.topic_update(f, request) for f in followers}
+
     def wait_for_copy(self, until: float) -> None:
         """Waits until all topics were read after the store returned.
 
@@ -105,28 +166,32 @@
         ):
             gevent.sleep(CHANGE_CHECK_S)
 
-    def is_behind(self, request: RelayRequest) -> bool:
+    def is_behind(self, request: RelayRequest | TopicsRequest) -> bool:
         """Returns whether the requester knows a newer era of the store."""
         era = self.era.current
         return era is not None and request.era is not None and request.era > era
 
     def position_in(
-        self, follower: TopicFollower, request: RelayRequest
+        self, follower: TopicFollower, request: RelayRequest | TopicsRequest
     ) -> int | None:
         """Returns the requester's offset, None if it is of an older era."""
         if request.era is not None and request.era != self.era.current:
             return None
         return request.positions.get(follower.topic)
 
-    def has_changes(self, request: RelayRequest) -> bool:
+    def has_changes(
+        self,
+        followers: list[TopicFollower],
+        request: RelayRequest | TopicsRequest,
+    ) -> bool:
         """Returns whether a topic has changes after the requested positions."""
         return any(
             follower.changes_since(self.position_in(follower, request)) != []
-            for follower in self.followers
+            for follower in followers
         )
 
     def topic_update(
-        self, follower: TopicFollower, request: RelayRequest
+        self, follower: TopicFollower, request: RelayRequest | TopicsRequest
     ) -> TopicUpdate:
         """Returns the changes of a topic, or the complete topic if unknown."""
         records = follower.changes_since(self.position_in(follower, request))
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -1,13 +1,15 @@
 """Follows the store through a relay, or directly if there is none.
 
-In each zone a few nodes, the relays, read the store. Each other node
-requests the changes since its offsets from one of them, in a single long poll
-for all topics.
+In each zone a few nodes, the relays, know the contents of the store. Each other
+node requests the changes since its offsets from one of them, in a single long
+poll for all topics. The relays of a large fleet do the same at a store reader,
+but write their reports to the store themselves.
 """
 
 import logging
 import math
 from collections.abc import Callable
+from typing import TypeVar
 
 import gevent
 import xxhash
@@ -19,17 +21,19 @@
     RelayAnswer,
     RelayRefusedError,
     RelayRequest,
+    TopicsAnswer,
+    TopicsRequest,
+    TopicUpdate,
+)
+from amaranthlug.coordination.routing.relay_roles import (
+    store_readers,
+    zone_readers,
+    zone_relays,
 )
 from amaranthlug.coordination.routing.store_era import StoreEra
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.state.routing.fleet import NodeEntry
 
-NODES_PER_RELAY = 24
-"""Nodes of a zone per relay; at one exchange per node and second this takes a
-few percent of the processor of a small VM."""
-STANDBYS_PER_ZONE = 2
-"""Nodes per zone that others try when no relay answers. After losing its relay
-a standby reads the store immediately, so that the other nodes need not."""
 MAX_HOLD_S = 0.8
 """Maximum time for which a relay holds an exchange, in seconds."""
 ANSWER_MARGIN_S = 0.4
@@ -53,39 +57,34 @@
 MAX_TRIES_PER_ROUND = 4
 """Nodes tried in one round of a search; the limit keeps many searching nodes
 from overloading the few that can act as relays."""
+MAX_TRIES_AT_START = 2
+"""Relays that a node asks at its start before it reads all topics itself."""
 MIN_EXCHANGE_INTERVAL_S = 0.25
 """Minimum time between the starts of two exchanges, in seconds."""
 RELAY_RETRY_INTERVAL_S = 0.7
 """Pause before a node without a relay searches for one again, in seconds."""
+MAX_FEED_AGE_S = 1.7
+"""Time since the last answer of a store reader after which a relay that has
+found no other refuses its members, in seconds; an exchange that fails after its
+longest wait, and the search for another reader."""
 FIRST_SEARCH_DELAY_S = 0.25
 """Time between a node's first report and its first search for a relay, in
 seconds; by then nodes that started at the same time have reported too."""
 
+Answer = TypeVar("Answer", RelayAnswer, TopicsAnswer)
+
 log = logging.getLogger(__name__)
 
 
-def zone_readers(
-    nodes: list[NodeEntry], zone: str
-) -> tuple[list[NodeEntry], list[NodeEntry]]:
-    """Returns the relays and standbys of a zone.
+class RelayClient:
+    """Keeps this node's followers current through a relay or the store.
 
-    The order by hash makes every node choose the same ones.
+    Attributes:
+        relay: Node that reads the store for this one and reports it; None if
+            this node does so itself.
+        reader: Store reader that supplies this node, a relay; None without.
+        fed_at: Clock at the last answer of a reader, in seconds.
     """
-    ranked = sorted(
-        (entry for entry in nodes if entry.zone == zone and entry.serving),
-        key=lambda e: xxhash.xxh3_64_intdigest(e.node.encode()),
-    )
-    count = math.ceil(len(ranked) / NODES_PER_RELAY)
-    return ranked[:count], ranked[count : count + STANDBYS_PER_ZONE]
-
-
-def zone_relays(nodes: list[NodeEntry], zone: str) -> list[NodeEntry]:
-    """Returns the relays of a zone; every node chooses the same ones."""
-    return zone_readers(nodes, zone)[0]
-
-
-class RelayClient:
-    """Keeps this node's followers current through a relay or the store."""
 
     def __init__(
         self,
@@ -106,6 +105,8 @@
         self.peers = peers
         self.clock = clock
         self.relay: NodeEntry | None = None
+        self.reader: NodeEntry | None = None
+        self.fed_at = -math.inf
         self.avoided_until: dict[str, float] = {}
         self.nodes_digest = ""
         self.greenlet: gevent.Greenlet | None = None
@@ -125,13 +126,28 @@
     def run(self) -> None:
         """Polls a relay while there is one and reads the store otherwise."""
         gevent.sleep(FIRST_SEARCH_DELAY_S)
-        self.fleet.follower.read_once()
+        if self.relay is None:
+            self.fleet.follower.read_once()
         while not self.stopped:
             while (relay := self.find_relay()) is not None:
                 self.poll_relay(relay)
             self.switch_to_store()
             gevent.sleep(RELAY_RETRY_INTERVAL_S)
 
+    def load_from_relay(self) -> bool:
+        """Gets all topics from a relay at the start of this node.
+
+        Only the list of nodes is read from the store. Returns False if no relay
+        answers, as when all nodes start at once.
+        """
+        if not self.fleet.follower.read_once():
+            return False
+        candidates = self.member_candidates(self.fleet.nodes())
+        return any(
+            self.exchange(relay, 0.0)
+            for relay in candidates[:MAX_TRIES_AT_START]
+        )
+
     def poll_relay(self, relay: NodeEntry) -> None:
         """Polls a relay until it fails or another one ranks first."""
         while True:
@@ -139,7 +155,7 @@
             best_relay = next(iter(self.relay_candidates()), None)
             if best_relay is None or best_relay.node != relay.node:
                 return
-            if not self.exchange(relay, MAX_HOLD_S):
+            if not self.poll(relay, MAX_HOLD_S, ANSWER_MARGIN_S):
                 return
             gevent.sleep(
                 max(0.0, MIN_EXCHANGE_INTERVAL_S - (self.clock() - started_at))
@@ -151,7 +167,7 @@
         A node that already reads the store makes one round. A node that lost
         its relay makes several, since a standby may be about to take over.
         """
-        is_lost = self.relay is not None
+        is_lost = self.relay is not None or self.reader is not None
         deadline = self.clock() + (RELAY_SEARCH_S if is_lost else 0.0)
         last_start = deadline - (MIN_ANSWER_S if is_lost else 0.0)
         while True:
@@ -159,7 +175,7 @@
                 answer_s = ANSWER_MARGIN_S
                 if is_lost:
                     answer_s = min(answer_s, deadline - self.clock())
-                if self.exchange(relay, 0.0, answer_s):
+                if self.poll(relay, 0.0, answer_s):
                     return relay
                 if self.clock() > last_start:
                     return None
@@ -173,26 +189,50 @@
     def is_zone_reader(self) -> bool:
         """Returns whether this node is a relay or a standby of its zone."""
         relays, standbys = zone_readers(self.fleet.nodes(), self.zone)
-        return any(entry.node == self.own_name for entry in relays + standbys)
+        return self.is_in(relays + standbys)
+
+    def is_in(self, entries: list[NodeEntry]) -> bool:
+        """Returns whether this node is one of `entries`."""
+        return any(entry.node == self.own_name for entry in entries)
+
+    def is_fed(self) -> bool:
+        """Returns whether a store reader supplies this node in time."""
+        return (
+            self.reader is not None
+            and self.clock() - self.fed_at < MAX_FEED_AGE_S
+        )
 
     def relay_candidates(self) -> list[NodeEntry]:
-        """Returns the nodes to try in order of preference; none for a relay.
+        """Returns the nodes to try in order of preference.
 
-        Relays of other zones follow those of this node's zone: an exchange
+        A relay tries the store readers only, and none if it is one. For other
+        nodes, relays of other zones follow those of the own zone: an exchange
         across zones costs less than this node's own calls to the store.
         """
         if not all(follower.has_data() for follower in self.followers):
             return []
         nodes = self.fleet.nodes()
+        if not self.is_in(zone_relays(nodes, self.zone)):
+            return self.member_candidates(nodes)
+        readers = store_readers(nodes)
+        return [] if self.is_in(readers) else self.usable([readers])
+
+    def member_candidates(self, nodes: list[NodeEntry]) -> list[NodeEntry]:
+        """Returns the nodes that a member tries, in order of preference."""
         local_relays, standbys = zone_readers(nodes, self.zone)
-        if any(entry.node == self.own_name for entry in local_relays):
-            return []
         zones = sorted({entry.zone for entry in nodes} - {self.zone})
         remote_relays = [e for zone in zones for e in zone_relays(nodes, zone)]
+        return self.usable([local_relays, remote_relays, standbys])
+
+    def usable(self, groups: list[list[NodeEntry]]) -> list[NodeEntry]:
+        """Returns the nodes of groups, without avoided ones and this one.
+
+        Each node ranks those of a group differently, which spreads the load.
+        """
         now = self.clock()
         return [
             entry
-            for group in (local_relays, remote_relays, standbys)
+            for group in groups
             for entry in sorted(group, key=self.relay_rank, reverse=True)
             if entry.node != self.own_name
             and self.avoided_until.get(entry.node, 0.0) <= now
@@ -204,6 +244,12 @@
             f"{self.own_name}|{relay.node}".encode()
         )
 
+    def poll(self, source: NodeEntry, hold_s: float, answer_s: float) -> bool:
+        """Polls a store reader if this node is a relay, else a relay."""
+        if self.is_in(zone_relays(self.fleet.nodes(), self.zone)):
+            return self.fetch_topics(source, hold_s, answer_s)
+        return self.exchange(source, hold_s, answer_s)
+
     def exchange(
         self,
         relay: NodeEntry,
@@ -227,21 +273,66 @@
             self.era.current,
         )
         sent_at = self.clock()
-        try:
-            answer = self.peers.exchange(
+        answer = self.ask(
+            relay,
+            lambda: self.peers.exchange(
                 relay.peer_address, request, hold_s + answer_s
+            ),
+        )
+        if answer is None:
+            return False
+        self.apply_answer(relay, answer, sent_at)
+        return True
+
+    def fetch_topics(
+        self, reader: NodeEntry, hold_s: float, answer_s: float
+    ) -> bool:
+        """Makes one exchange with a store reader; False if it failed.
+
+        Args:
+            reader: The node to ask.
+            hold_s: Time for which it may wait for a change, in seconds.
+            answer_s: Longest wait for its answer beyond that, in seconds.
+        """
+        followers = [*self.followers, self.fleet.follower]
+        request = TopicsRequest(
+            {f.topic: f.position for f in followers}, hold_s, self.era.current
+        )
+        sent_at = self.clock()
+        answer = self.ask(
+            reader,
+            lambda: self.peers.fetch_topics(
+                reader.peer_address, request, hold_s + answer_s
+            ),
+        )
+        if answer is None:
+            return False
+        if self.reader is None or self.reader.node != reader.node:
+            log.info(
+                "using node %s as store reader",
+                reader.node,
+                extra={"event": "reader", "reader": reader.node},
             )
+        if self.relay is not None:
+            self.leave_relay()
+        self.reader, self.fed_at = reader, self.clock()
+        self.apply_topics(followers, answer.topics, sent_at + answer.held_s)
+        return True
+
+    def ask(self, node: NodeEntry, send: Callable[[], Answer]) -> Answer | None:
+        """Returns a node's answer, None if it is of no use; avoids it then."""
+        try:
+            answer = send()
         except RelayRefusedError as error:
-            self.avoid_relay(relay, str(error), REFUSED_AVOID_S)
-            return False
+            self.avoid_relay(node, str(error), REFUSED_AVOID_S)
+            return None
         except OSError as error:
-            self.avoid_relay(relay, str(error), NO_ANSWER_AVOID_S)
-            return False
+            self.avoid_relay(node, str(error), NO_ANSWER_AVOID_S)
+            return None
         if not self.era.accept(answer.era):
-            self.avoid_relay(relay, "older era of the store", REFUSED_AVOID_S)
-            return False
-        self.apply_answer(relay, answer, sent_at)
-        return True
+            self.avoid_relay(node, "older era of the store", REFUSED_AVOID_S)
+            return None
+        return answer
 
     def apply_answer(
         self, relay: NodeEntry, answer: RelayAnswer, sent_at: float
@@ -253,11 +344,33 @@
                 relay.node,
                 extra={"event": "relay", "relay": relay.node},
             )
-        self.relay = relay
+        self.relay, self.reader = relay, None
         # The relay built the answer no earlier than this.
-        formed_at = sent_at + answer.held_s
-        for follower in self.followers:
-            update = answer.topics.get(follower.topic)
+        self.apply_topics(
+            self.followers, answer.topics, sent_at + answer.held_s
+        )
+        summary = answer.summary
+        if answer.nodes_digest == self.nodes_digest and self.fleet.summary:
+            summary.nodes = self.fleet.summary.nodes
+        self.nodes_digest = answer.nodes_digest
+        self.fleet.set_summary(summary)
+
+    def apply_topics(
+        self,
+        followers: list[TopicFollower],
+        topics: dict[str, TopicUpdate],
+        formed_at: float,
+    ) -> None:
+        """Applies what a relay or reader sent of topics.
+
+        Args:
+            followers: The followers to which the topics belong.
+            topics: Topic -> changes.
+            formed_at: Clock at which the answer was built at the earliest, in
+                seconds.
+        """
+        for follower in followers:
+            update = topics.get(follower.topic)
             if update is None:
                 continue
             follower.reads_directly.clear()
@@ -271,11 +384,6 @@
             else:
                 continue  # The relay is behind this node.
             follower.mark_confirmed(read_at)
-        summary = answer.summary
-        if answer.nodes_digest == self.nodes_digest and self.fleet.summary:
-            summary.nodes = self.fleet.summary.nodes
-        self.nodes_digest = answer.nodes_digest
-        self.fleet.set_summary(summary)
 
     def avoid_relay(
         self, relay: NodeEntry, reason: str, avoid_s: float
@@ -290,19 +398,24 @@
         )
 
     def switch_to_store(self) -> None:
-        """Stops using a relay and reads the store directly."""
-        if self.relay is None:
+        """Stops using a relay or reader and reads the store directly."""
+        if self.relay is None and self.reader is None:
             return
-        self.relay = None
-        self.nodes_digest = ""
-        self.fleet.clear_summary()
-        for follower in self.followers:
+        self.leave_relay()
+        self.reader = None
+        for follower in (*self.followers, self.fleet.follower):
             follower.reads_directly.set()
         # Only reads the reports: the last relay still lists this node, and the
         # periodic task publishes this node's own report later.
         gevent.spawn(self.fleet.follower.read_once)
         log.info("reading the store directly", extra={"event": "direct"})
 
+    def leave_relay(self) -> None:
+        """Forgets the relay and what it said of the fleet."""
+        self.relay = None
+        self.nodes_digest = ""
+        self.fleet.clear_summary()
+
     def report_now(self) -> None:
         """Sends this node's report to its relay or the store immediately."""
         if self.relay is not None and self.exchange(self.relay, 0.0):
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_messages.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_messages.py
@@ -10,14 +10,15 @@
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
 from amaranthlug.state.routing.fleet import NodeReport
 
-MIN_COMPRESS_BYTES = 4_096
+MIN_COMPRESS_BYTES = 1_024
 """Size from which a record's value is compressed, in bytes. A configuration of
 900 routes exceeds 200 KB and is sent to 24 nodes at once, some over links of 5
-Mbit/s."""
+Mbit/s; reports of relays are sent to all other relays each second."""
 ZLIB_LEVEL = 1
 """zlib level; even the fastest shrinks a configuration to a tenth."""
-COMPRESS_CACHE_SIZE = 8
-"""Number of cached compressed values; only configurations get compressed."""
+COMPRESS_CACHE_SIZE = 64
+"""Number of cached compressed values: configurations, and the last report of
+each relay."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,6 +120,37 @@
     era: int | None = None
 
 
+@dataclasses.dataclass(frozen=True)
+class TopicsRequest:
+    """A relay's request to a store reader.
+
+    Attributes:
+        positions: Topic -> offset from which to send changes; None asks for
+            the complete topic.
+        hold_s: Maximum time to wait for a change, in seconds.
+        era: Era of the store to which the positions belong, None if unknown.
+    """
+
+    positions: dict[str, int | None]
+    hold_s: float
+    era: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class TopicsAnswer:
+    """A store reader's answer.
+
+    Attributes:
+        topics: Topic -> changes.
+        held_s: Time for which the reader held the request, in seconds.
+        era: Era of the store to which the topics belong, None if unknown.
+    """
+
+    topics: dict[str, TopicUpdate]
+    held_s: float
+    era: int | None = None
+
+
 class RelayRefusedError(OSError):
     """The node cannot act as a relay at present."""
 
@@ -136,3 +168,14 @@
             OSError: The node did not answer within `timeout_s` seconds.
         """
         ...
+
+    def fetch_topics(
+        self, address: str, request: TopicsRequest, timeout_s: float
+    ) -> TopicsAnswer:
+        """Returns the answer of the store reader at `address`.
+
+        Raises:
+            RelayRefusedError: The node does not read the store at present.
+            OSError: The node did not answer within `timeout_s` seconds.
+        """
+        ...
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -20,9 +20,9 @@
 READ_OVERDUE_MARGIN_S = 0.2
 """Time beyond the requested wait after which a read is overdue, in seconds;
 the store usually answers within 10 ms."""
-FIRST_READ_PAUSE_S = 0.6
+FIRST_READ_PAUSE_S = 1.0
 """Pause after the first read, in seconds; a node that finds a relay in this
-time makes no second call."""
+time makes no second call. A change is still read within 2 s."""
 MAX_REMOVED_KEYS = 2_000
 """Maximum number of removed keys that are kept for delta updates; a node that
 is further behind gets the complete topic."""
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -18,6 +18,7 @@
     ConfigSource,
     OperatorDecoder,
 )
+from amaranthlug.coordination.routing.counted_store import CountedStore
 from amaranthlug.coordination.routing.entry_choice import choose_entries
 from amaranthlug.coordination.routing.fleet_suspects import (
     FleetSuspects,
@@ -121,6 +122,9 @@
 KILL_MARGIN_S = 0.4
 """Time before the end of the grace period, when the process is killed, at which
 it exits by itself, in seconds."""
+INITIAL_RELAY_WAIT_S = 0.15
+"""Longest wait for the topics from a relay at the start, in seconds, before
+this node reads them from the store itself; a relay answers within 30 ms."""
 ANNOUNCE_WAIT_S = 3.0
 """Maximum wait for readiness before the first report, in seconds."""
 CHECK_PERIOD_S = 0.1
@@ -194,9 +198,11 @@
         self.random = random.Random(settings.seed)
         self.incarnation = uuid.uuid4().hex[:12]
         self.leaving = False
+        self.announced = False
         self.caught_up = False
         self.created_at = boot_seconds()
         self.stop_requested = Event()
+        store = CountedStore(store, self.metrics)
         self.store_era = store.era
         self.store_era.metrics = self.metrics
         self.config = ConfigSource(codec)
@@ -259,6 +265,7 @@
             self.store_era,
             peers,
         )
+        self.relay.is_fed = self.relay_client.is_fed
         self.controller = RolloutController(
             store,
             self.status_follower,
@@ -351,8 +358,6 @@
     def start(self) -> None:
         """Starts to read the store and the periodic tasks."""
         self.update_retry_budget()
-        for follower in self.followers:
-            follower.start()
         self.timers.every("report", REPORT_PERIOD_S, self.sync_fleet)
         self.timers.every("links", LINK_PERIOD_S, self.paths.probe_lost)
         self.timers.every("rollouts", ROLLOUT_PERIOD_S, self.advance_rollouts)
@@ -370,24 +375,45 @@
         )
 
     def join_fleet(self) -> None:
-        """Reports once this node is ready, then starts to search for a relay.
+        """Loads the topics, reports when ready, then searches for a relay.
 
         Reports after `ANNOUNCE_WAIT_S` even if the node is not ready.
         """
         started_at = boot_seconds()
-        while (
-            not self.is_ready()
-            and boot_seconds() - started_at < ANNOUNCE_WAIT_S
-        ):
+        loading = gevent.spawn(self.relay_client.load_from_relay)
+        loading.join(INITIAL_RELAY_WAIT_S)
+        self.config_follower.start()
+        # A fleet that starts for the first time may wait for seconds until its
+        # configuration is written, and needs nothing else until then.
+        self.wait_at_start(started_at, lambda: self.config.config is not None)
+        for follower in self.followers:
+            if follower is not self.config_follower:
+                follower.start()
+        self.wait_at_start(started_at, self.is_ready)
+        self.fleet.announce()
+        self.announced = True
+        self.relay_client.start()
+
+    def wait_at_start(
+        self, started_at: float, is_done: Callable[[], bool]
+    ) -> None:
+        """Waits for a step of the start, until `ANNOUNCE_WAIT_S` at most.
+
+        Args:
+            started_at: Boot clock at the start, in seconds.
+            is_done: Returns whether the step is complete.
+        """
+        while not is_done() and boot_seconds() - started_at < ANNOUNCE_WAIT_S:
             if not self.fleet.follower.has_data():
                 self.fleet.follower.read_once()
             gevent.sleep(CHECK_PERIOD_S / 5)
-        self.fleet.sync()
-        self.relay_client.start()
 
     def sync_fleet(self) -> None:
-        """Reports to the store unless a relay does, and updates the budget."""
-        if self.relay_client.relay is None:
+        """Reports to the store unless a relay does, and updates the budget.
+
+        The first report is that of `join_fleet`.
+        """
+        if self.announced and self.relay_client.relay is None:
             self.fleet.sync()
         self.update_retry_budget()
 
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -16,6 +16,8 @@
     RelayAnswer,
     RelayRefusedError,
     RelayRequest,
+    TopicsAnswer,
+    TopicsRequest,
 )
 from amaranthlug.coordination.routing.session_owners import (
     ClaimAnswer,
@@ -45,6 +47,7 @@
 )
 
 EXCHANGE_PATH = "/peer/exchange"
+TOPICS_PATH = "/peer/topics"
 CLAIM_PATH = "/peer/session-claim"
 NOTICE_PATH = "/peer/suspects"
 CONNECT_TIMEOUT_S = 0.3
@@ -76,6 +79,7 @@
         self.paths = paths
         self.handlers: dict[str, tuple[type, Callable[[Any], Any]]] = {
             EXCHANGE_PATH: (RelayRequest, relay.answer),
+            TOPICS_PATH: (TopicsRequest, relay.answer_relay),
             CLAIM_PATH: (ClaimRequest, owners.answer),
             NOTICE_PATH: (SuspectNotice, suspects.receive),
             CHECK_PATH: (PathRequest, paths.check),
@@ -134,6 +138,17 @@
             address, EXCHANGE_PATH, request, timeout_s, RelayAnswer
         )
 
+    def fetch_topics(
+        self, address: str, request: TopicsRequest, timeout_s: float
+    ) -> TopicsAnswer:
+        """Returns the answer of the store reader at `address`.
+
+        Raises:
+            RelayRefusedError: The node does not currently read the store.
+            OSError: The node could not be reached or its response is invalid.
+        """
+        return self.post(address, TOPICS_PATH, request, timeout_s, TopicsAnswer)
+
     def claim(
         self, address: str, request: ClaimRequest, timeout_s: float
     ) -> ClaimAnswer:
--- a/test/test_routing_knowledge.py
+++ b/test/test_routing_knowledge.py
@@ -24,13 +24,15 @@
     NO_ANSWER_AVOID_S,
     RELAY_SEARCH_S,
     RelayClient,
-    zone_readers,
-    zone_relays,
 )
 from amaranthlug.coordination.routing.relay_messages import (
     RelayRefusedError,
     RelayRequest,
 )
+from amaranthlug.coordination.routing.relay_roles import (
+    zone_readers,
+    zone_relays,
+)
 from amaranthlug.coordination.routing.server_directory import (
     LAPSE_GRACE_S,
     ServerDirectory,
--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -20,12 +20,13 @@
 from amaranthlug.coordination.routing.fleet_view import FleetSummary, FleetView
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
 from amaranthlug.coordination.routing.relay import Relay
-from amaranthlug.coordination.routing.relay_client import (
+from amaranthlug.coordination.routing.relay_client import RelayClient
+from amaranthlug.coordination.routing.relay_messages import RelayRefusedError
+from amaranthlug.coordination.routing.relay_roles import (
     NODES_PER_RELAY,
-    RelayClient,
+    store_readers,
     zone_relays,
 )
-from amaranthlug.coordination.routing.relay_messages import RelayRefusedError
 from amaranthlug.coordination.routing.rollout_tracker import RolloutTracker
 from amaranthlug.coordination.routing.server_directory import (
     RESTORE_GRACE_S,
@@ -397,6 +398,7 @@
         for entry in self.entries:
             self.add(entry.node)
         self.relay_names = [e.node for e in zone_relays(self.entries, "zone-a")]
+        self.reader_names = [e.node for e in store_readers(self.entries)]
 
     def add(self, name: str) -> None:
         """Starts one node."""
@@ -410,6 +412,7 @@
         era.subscribe(follower.begin_restore)
         self.followers[name] = follower
         fleet = FleetView(FakeStore(), lambda: make_report(name), clock=clock)
+        fleet.follower.read_once()
         fleet.set_summary(FleetSummary(self.entries, {}, {}))
         self.relays[name] = Relay([follower], fleet, era, lambda: False, clock)
         self.clients[name] = RelayClient(
@@ -423,14 +426,26 @@
             raise RelayRefusedError("refused")
         return answer
 
+    def fetch_topics(self, address, request, timeout_s):
+        """Passes a request on to a store reader."""
+        answer = self.relays[address.partition(":")[0]].answer_relay(request)
+        if answer is None:
+            raise RelayRefusedError("refused")
+        return answer
+
     def return_to_copy(self) -> int:
         """Returns the store to a copy; returns the calls until all know it."""
         self.store.records[:] = []
         self.store.put("a", b"0")
         before = self.store.reads
-        for name in self.relay_names:
+        for name in self.reader_names:
             self.eras[name].accept(2)
             self.followers[name].read_once()
+        for name in self.relay_names:
+            if name not in self.reader_names:
+                client = self.clients[name]
+                assert client.poll(client.relay_candidates()[0], 0.0, 1.0)
+                self.relays[name].is_fed = client.is_fed
         for name, client in self.clients.items():
             if name not in self.relay_names:
                 relay = client.relay_candidates()[0]
@@ -439,10 +454,11 @@
 
 
 @pytest.mark.parametrize("count", [8, 90, 390])
-def test_only_relays_read_a_copy_from_the_store(count):
+def test_only_store_readers_read_a_copy_from_the_store(count):
     """The others would exceed its rate in the first second."""
     fleet = ReadingFleet(count)
-    assert fleet.return_to_copy() == len(fleet.relay_names)
+    assert fleet.return_to_copy() == len(fleet.reader_names)
+    assert len(fleet.reader_names) <= 4
     assert len(fleet.relay_names) == math.ceil(count / NODES_PER_RELAY)
     for follower in fleet.followers.values():
         assert follower.listener.content == {"a": b"0"}
--- a/test/test_suspects.py
+++ b/test/test_suspects.py
@@ -16,7 +16,7 @@
     FleetSuspects,
 )
 from amaranthlug.coordination.routing.fleet_view import FleetSummary, FleetView
-from amaranthlug.coordination.routing.relay_client import zone_relays
+from amaranthlug.coordination.routing.relay_roles import zone_relays
 from amaranthlug.state import suspects as suspects_module
 from amaranthlug.state.routing.fleet import NodeReport
 from amaranthlug.state.suspects import (
