--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -171,6 +171,7 @@
             context.organisation, context.service_name, context.request
         )
         self.tried: set[tuple[str, int]] = set()
+        self.checked_links: set[tuple[str, int]] = set()
         self.attempts_sent = 0
         self.may_have_run = False
         self.retry_reserved = False
@@ -320,6 +321,7 @@
         health.record_silence(server)
         successor = self.find_successor()
         if successor is None:
+            self.check_link(server)
             return False
         if not self.is_reachable(successor):
             if self.has_attempt_left():  # Else the limit ended the probe.
@@ -337,6 +339,15 @@
             return self.tools.port.is_reachable(server)
         return False
 
+    def check_link(self, server: ServerEntry) -> None:
+        """Checks the link to a silent server in the background, once.
+
+        This request has to wait, but the next ones can take another path.
+        """
+        if self.peer is None and server.instance_key not in self.checked_links:
+            self.checked_links.add(server.instance_key)
+            gevent.spawn(self.tools.port.is_reachable, server)
+
     def find_successor(self) -> ServerEntry | None:
         """Returns a responsive server for one more attempt, None if none."""
         if not self.could_continue():
--- a/test/test_lost_links.py
+++ b/test/test_lost_links.py
@@ -11,6 +11,7 @@
     CutFleet,
     FirstTry,
 )
+from _platform_fleet import wait_for
 
 CUT_AFTER_S = 0.5
 """Time of traffic before the cut, in seconds."""
@@ -28,6 +29,9 @@
 STREAMS = 4
 """Streams that run at a node when its links are cut."""
 CUT_NODE = 1
+LINK_CHECKED_S = 0.6
+"""Time in which a node notices that a link hangs, in seconds: half a second and
+the wait for one connection."""
 TOLD_S = 0.5
 """Time in which nodes tell each other of ended servers, in seconds."""
 TWO_NODES = {1, 4}
@@ -109,3 +113,19 @@
         if attempt.sent_at >= since_s and "/stream/" not in attempt.target
     ]
     assert max(plain) <= MAX_EXTRA_S + 0.1
+
+
+# Guards against callers that wait for hanging links one after the other since
+# none of the requests may be repeated.
+def test_unrepeatable_request_that_hangs_makes_its_node_check_the_link(
+    cut_fleet,
+):
+    """It is answered by no one, but the next ones take another path."""
+    node = cut_fleet.links[CUT_NODE].node
+    for number in range(4):
+        cut_fleet.fleet.call("/once/a", CUT_NODE, request_id=f"warm-{number}")
+    waiting = FirstTry(CUT_NODE, "/once/a", "hanging", 0.0)
+    cut_fleet.traffic.begin(waiting)
+    gevent.sleep(RUN_S / 2)
+    cut_fleet.cut({CUT_NODE}, HANG)
+    wait_for(lambda: node.links.lost, LINK_CHECKED_S)
