Send nothing to servers of a reverted version in the next roll-out

Cause: the tracker keeps the newest order of a service; with the next one it forgot that v2 was bad, so that its servers, which run for some seconds more, counted as servers of the old version.

Change: versions that were reverted, or that this node judged bad, are kept and left out of the old servers, unless no others run; a version that is ordered again and not reverted is taken back.

Remains: a node that starts after the next order knows of no earlier one, since the store keeps the newest state of a service only.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/rollout_tracker.py
@@ -121,7 +121,12 @@
 
 
 class RolloutTracker:
-    """Tracks roll-outs from orders, recorded states and pooled evidence."""
+    """Tracks roll-outs from orders, recorded states and pooled evidence.
+
+    Attributes:
+        rejected: Service -> versions that were reverted or judged bad. Their
+            servers may still run when the next roll-out is ordered.
+    """
 
     def __init__(
         self,
@@ -148,6 +153,7 @@
         self.statuses: dict[str, RolloutStatus] = {}
         self.stored_statuses: dict[str, RolloutStatus] = {}
         self.rollouts: dict[str, TrackedRollout] = {}
+        self.rejected: dict[str, set[str]] = {}
         self.has_read_statuses = False
 
     def replace(self, records: list[KeyedRecord]) -> None:
@@ -222,6 +228,11 @@
         """
         self.statuses[status.service] = status
         self.stored_statuses[status.service] = status
+        rejected = self.rejected.setdefault(status.service, set())
+        if status.phase is RolloutPhase.REVERTED:
+            rejected.add(status.target)
+        else:
+            rejected.discard(status.target)
 
     def rollout_of(self, service: str) -> TrackedRollout | None:
         """Returns the newest roll-out of a service, or None."""
@@ -298,7 +309,9 @@
             return VersionSplit(servers, [], 0.0)
         order = rollout.order
         new = [s for s in servers if s.version == order.target]
-        old = [s for s in servers if s.version != order.target]
+        old = self.without_rejected(
+            [s for s in servers if s.version != order.target], service
+        )
         if rollout.phase is RolloutPhase.COMPLETED:
             return VersionSplit([], new or old, 1.0)
         if rollout.phase is RolloutPhase.REVERTED or rollout.judged_bad:
@@ -316,6 +329,16 @@
             rollout_id=rollout.rollout_id,
         )
 
+    def without_rejected(
+        self, servers: list[ServerEntry], service: str
+    ) -> list[ServerEntry]:
+        """Returns the servers of versions that were not rejected.
+
+        Returns all if there are no others.
+        """
+        rejected = self.rejected.get(service, set())
+        return [s for s in servers if s.version not in rejected] or servers
+
     def elapsed_s(self, rollout: TrackedRollout) -> float:
         """Returns the time since the roll-out started, in seconds."""
         return self.clock() - rollout.started_at
@@ -379,6 +402,9 @@
         if not is_bad(evidence, rollout.order.target):
             return False
         rollout.judged_bad = True
+        self.rejected.setdefault(rollout.order.service, set()).add(
+            rollout.order.target
+        )
         counts = sum_counts(evidence, rollout.order.target)
         log.warning(
             "version %s of %s is bad; it gets no more requests",
--- a/test/test_routing_rollouts.py
+++ b/test/test_routing_rollouts.py
@@ -162,6 +162,58 @@
     assert harness.split().share == CANARY_SHARE
 
 
+THIRD = make_server("s3", version="v3")
+
+
+def next_split(harness, servers=(OLD, NEW, THIRD)):
+    """Returns the split after an order to move on to v3."""
+    harness.orders["pool"] = make_order(target="v3", offset=9)
+    return harness.tracker.split("pool", list(servers))
+
+
+def apply_status(harness, phase, target="v2"):
+    """Applies a recorded state of a roll-out."""
+    body = f'{{"service":"pool","target":"{target}","state":"{phase.value}"}}'
+    harness.tracker.apply(KeyedRecord("rollout/pool", body.encode(), 1))
+
+
+# Guards against requests at the servers of a reverted version, which still run
+# when the next roll-out is ordered: its sessions moved back and forth (PINNED).
+def test_servers_of_a_reverted_version_get_nothing_in_the_next_roll_out(
+    harness,
+):
+    """They are not servers of the old version."""
+    apply_status(harness, RolloutPhase.REVERTED)
+    split = next_split(harness)
+    assert (split.old, split.new) == ([OLD], [THIRD])
+
+
+def test_servers_of_a_version_judged_bad_get_nothing_in_the_next_roll_out(
+    harness,
+):
+    """This node may know it before the state is recorded."""
+    harness.add_answers("v1", 100)
+    harness.add_answers("v2", 40, bad=40)
+    assert next_split(harness).old == [OLD]
+
+
+def test_reverted_version_is_used_where_there_is_no_other(harness):
+    """A bad answer is better than none."""
+    apply_status(harness, RolloutPhase.REVERTED)
+    assert next_split(harness, [NEW]).old == [NEW]
+
+
+def test_reverted_version_that_is_ordered_again_may_complete(harness):
+    """Operators repeat an order after they have mended the version."""
+    apply_status(harness, RolloutPhase.REVERTED)
+    harness.orders["pool"] = make_order(offset=9)
+    apply_status(harness, RolloutPhase.ACTIVE)
+    assert harness.split().new == [NEW]
+    apply_status(harness, RolloutPhase.COMPLETED)
+    split = next_split(harness, [NEW, THIRD])
+    assert (split.old, split.new) == ([NEW], [THIRD])
+
+
 def make_sessions(harness, register=None):
     """Returns a node's table of sessions; `register` stands for the owners."""
     return SessionVersions(
