Choose relays on the VMs with the most processor

Cause: relays were drawn by name alone. At the large deployment a zone has 3 VMs of 2.15 cores and some 30 of 0.52; the small ones answered their members beside their callers, and members of a late relay read the store.

Change: the settings hold the processor's share and speed, registrations its capacity, and relays, standbys and store readers are ordered by it, then by name. Nodes of an older build have capacity 0 and rank last. VMs of one size are ordered as before.

test_largest_machines_are_relays fails before. Whether the calls fall is not measured yet.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_roles.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_roles.py
@@ -25,9 +25,13 @@
 """Store readers of a fleet that has any, so that one may be lost."""
 
 
-def name_rank(entry: NodeEntry) -> int:
-    """Returns a pseudo-random rank that is the same at every node."""
-    return xxhash.xxh3_64_intdigest(entry.node.encode())
+def relay_order(entry: NodeEntry) -> tuple[float, int]:
+    """Returns the order in which nodes become relays, the same at every node.
+
+    VMs with more processor come first: a relay answers its members beside its
+    callers, and members of a late one read the store themselves.
+    """
+    return -entry.capacity, xxhash.xxh3_64_intdigest(entry.node.encode())
 
 
 def zone_readers(
@@ -36,7 +40,7 @@
     """Returns the relays and standbys of a zone."""
     ranked = sorted(
         (entry for entry in nodes if entry.zone == zone and entry.serving),
-        key=name_rank,
+        key=relay_order,
     )
     count = math.ceil(len(ranked) / NODES_PER_RELAY)
     return ranked[:count], ranked[count : count + STANDBYS_PER_ZONE]
@@ -54,7 +58,7 @@
     store readers.
     """
     ranked = [
-        (index, name_rank(entry), entry)
+        (index, relay_order(entry), entry)
         for zone in {entry.zone for entry in nodes}
         for index, entry in enumerate(zone_relays(nodes, zone))
     ]
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -525,6 +525,7 @@
             store_era=self.store_era.current,
             config_version=self.config_version(),
             reaches_servers=not self.links.is_cut(),
+            capacity=settings.processor.capacity,
         )
 
     def config_version(self) -> int:
--- a/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
@@ -28,6 +28,7 @@
         store_era: Era of the store that it knows, None if unknown.
         config_version: Version of its configuration, -1 without one.
         reaches_servers: False while it reaches servers only through others.
+        capacity: Processor of its VM in standard cores, 0 if unknown.
     """
 
     node: str
@@ -40,6 +41,7 @@
     store_era: int | None = None
     config_version: int = -1
     reaches_servers: bool = True
+    capacity: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/amaranthlug/src/amaranthlug/state/routing/settings.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/settings.py
@@ -47,6 +47,24 @@
     retry_window_s: float = 10.0
 
 
+@dataclasses.dataclass(frozen=True)
+class ProcessorLimits:
+    """The processor that a VM gives to this process.
+
+    Attributes:
+        share: Share of the time of one core.
+        speed: Speed of that core, in multiples of a standard core.
+    """
+
+    share: float = 0.0
+    speed: float = 1.0
+
+    @property
+    def capacity(self) -> float:
+        """Returns the capacity in standard cores; 0 if it is not known."""
+        return round(self.share * self.speed, 2)
+
+
 @dataclasses.dataclass(frozen=True)
 class RoutedNodeSettings:
     """All settings of one node.
@@ -58,6 +76,7 @@
         addresses: Addresses that the node listens on.
         store: `host:port` of the platform's store.
         max_descriptors: File descriptors that the process may open.
+        processor: Processor of the VM, by which relays are chosen.
         bounds: Limits set by the deployment.
         log_level: Lowest level that is logged, such as `INFO`.
         seed: Seed of random choices, for reproducible tests only.
@@ -69,6 +88,9 @@
     addresses: NodeAddresses
     store: str
     max_descriptors: int = 1_024
+    processor: ProcessorLimits = dataclasses.field(
+        default_factory=ProcessorLimits
+    )
     bounds: RoutingBounds = dataclasses.field(default_factory=RoutingBounds)
     log_level: str = "INFO"
     seed: int | None = None
--- a/test/test_store_readers.py
+++ b/test/test_store_readers.py
@@ -4,6 +4,8 @@
 grow with the number of nodes, and no node may learn of a change later for it.
 """
 
+import dataclasses
+
 import gevent
 import pytest
 from _routing import (
@@ -163,6 +165,23 @@
     assert len(store_readers(entries)) == 2
 
 
+def test_largest_machines_are_relays():
+    """At the large deployment 3 VMs of a zone have four times the processor.
+
+    Relays on the small ones answered late under load, and their members read
+    the store.
+    """
+    entries = make_zoned_entries(195, 6)
+    entries = [
+        dataclasses.replace(entry, capacity=2.15 if number < 18 else 0.52)
+        for number, entry in enumerate(entries)
+    ]
+    large = {entry.node for entry in entries[:18]}
+    for zone in range(6):
+        assert {e.node for e in zone_relays(entries, f"zone-{zone}")} <= large
+    assert {entry.node for entry in store_readers(entries)} <= large
+
+
 def test_reads_do_not_grow_with_the_relays(fleet):
     """Before, each of 12 relays read all topics and all reports itself."""
     topic_reads, report_reads = fleet.store.reads, fleet.reports.reads
