--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -153,7 +153,11 @@
         while True:
             started_at = self.clock()
             best_relay = next(iter(self.relay_candidates()), None)
-            if best_relay is None or best_relay.node != relay.node:
+            if best_relay is None:
+                return
+            if best_relay.node != relay.node:
+                # Lists of nodes may differ for a while, and the role with them.
+                gevent.sleep(MIN_EXCHANGE_INTERVAL_S)
                 return
             if not self.poll(relay, MAX_HOLD_S, ANSWER_MARGIN_S):
                 return
--- a/test/test_store_readers.py
+++ b/test/test_store_readers.py
@@ -24,6 +24,7 @@
 from amaranthlug.coordination.routing.relay import Relay
 from amaranthlug.coordination.routing.relay_client import (
     MAX_FEED_AGE_S,
+    MIN_EXCHANGE_INTERVAL_S,
     RelayClient,
 )
 from amaranthlug.coordination.routing.relay_messages import RelayRefusedError
@@ -357,3 +358,32 @@
     fleet.lost.update(fleet.nodes)
     assert not node.client.load_from_relay()
     assert node.follower.reads_directly.is_set()
+
+
+class RunEndedError(Exception):
+    """Ends the endless task of a client."""
+
+
+def test_node_between_two_roles_makes_few_exchanges(fleet):
+    """Relays of overloaded VMs vanish from some lists of nodes and not others.
+
+    A node that was a relay by one list and a member by the other changed its
+    role 20 times in 0.1 s.
+    """
+    client = fleet.nodes[fleet.fed[0]].client
+    started_at = fleet.clock.now
+    polls = []
+
+    def poll(source, hold_s, answer_s):
+        polls.append(source.node)
+        if len(polls) > 100 or fleet.clock.now > started_at + 2.0:
+            raise RunEndedError
+        client.relay_candidates = lambda: list(reversed(ranked))
+        ranked.reverse()
+        return True
+
+    ranked = [fleet.nodes[name].entry for name in fleet.readers]
+    client.poll = poll
+    with pytest.raises(RunEndedError):
+        client.run()
+    assert len(polls) <= 2.0 / MIN_EXCHANGE_INTERVAL_S + 2
