--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -80,9 +80,10 @@
     """Keeps this node's followers current through a relay or the store.
 
     Attributes:
-        relay: Node that reads the store for this one and reports it; None if
-            this node does so itself.
-        reader: Store reader that supplies this node, a relay; None without.
+        relay: Node that passes the topics on to this one, a member, and
+            reports it; None if this node writes its own report.
+        reader: Store reader that passes them on to this one, a relay; None if
+            it reads the store or is a member.
         fed_at: Clock at the last answer of a reader, in seconds.
     """
 
@@ -298,6 +299,8 @@
             hold_s: Time for which it may wait for a change, in seconds.
             answer_s: Longest wait for its answer beyond that, in seconds.
         """
+        if self.stopped:
+            return False
         followers = [*self.followers, self.fleet.follower]
         request = TopicsRequest(
             {f.topic: f.position for f in followers}, hold_s, self.era.current
--- a/test/test_store_readers.py
+++ b/test/test_store_readers.py
@@ -360,6 +360,15 @@
     assert node.follower.reads_directly.is_set()
 
 
+def test_stopped_node_asks_no_reader(fleet):
+    """Another fleet may get the address of the reader."""
+    node = fleet.nodes[fleet.fed[0]]
+    node.client.stop()
+    assert not node.client.fetch_topics(
+        fleet.nodes[fleet.readers[0]].entry, 0.0, 1.0
+    )
+
+
 class RunEndedError(Exception):
     """Ends the endless task of a client."""
 
