--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -124,7 +124,7 @@
 it exits by itself, in seconds."""
 INITIAL_RELAY_WAIT_S = 0.15
 """Longest wait for the topics from a relay at the start, in seconds, before
-this node reads them from the store itself; a relay answers within 30 ms."""
+this node reads them from the store itself."""
 ANNOUNCE_WAIT_S = 3.0
 """Maximum wait for readiness before the first report, in seconds."""
 CHECK_PERIOD_S = 0.1
