--- a/packages/amaranthlug-standins/src/amaranthlug_standins/loopback.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/loopback.py
@@ -4,7 +4,6 @@
 taken by another, and nodes then talk to servers of a foreign run.
 """
 
-import os
 import random
 import socket
 
@@ -30,7 +29,7 @@
 
     def __init__(self) -> None:
         """Reserves nothing yet."""
-        self.random = random.Random(os.urandom(16))
+        self.random = random.SystemRandom()
         self.guards: list[socket.socket] = []
         self.own_address: str | None = None
         self.next_port = 0
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -268,8 +268,6 @@
             hold_s: Time for which it may wait for a change, in seconds.
             answer_s: Longest wait for its answer beyond that, in seconds.
         """
-        if self.stopped:
-            return False
         request = RelayRequest(
             self.fleet.describe_node(),
             {f.topic: f.position for f in self.followers},
@@ -299,8 +297,6 @@
             hold_s: Time for which it may wait for a change, in seconds.
             answer_s: Longest wait for its answer beyond that, in seconds.
         """
-        if self.stopped:
-            return False
         followers = [*self.followers, self.fleet.follower]
         request = TopicsRequest(
             {f.topic: f.position for f in followers}, hold_s, self.era.current
@@ -327,7 +323,12 @@
         return True
 
     def ask(self, node: NodeEntry, send: Callable[[], Answer]) -> Answer | None:
-        """Returns a node's answer, None if it is of no use; avoids it then."""
+        """Returns a node's answer, None if it is of no use; avoids it then.
+
+        Once this client is stopped it asks no node.
+        """
+        if self.stopped:
+            return None
         try:
             answer = send()
         except RelayRefusedError as error:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -335,8 +335,12 @@
 
     def is_reachable(self, server: ServerEntry) -> bool:
         """Returns whether a server accepts a connection before the limit."""
+        return self.holds_in_time(lambda: self.tools.port.is_reachable(server))
+
+    def holds_in_time(self, check: Callable[[], bool]) -> bool:
+        """Returns the result of a check, False if the limit comes first."""
         with gevent.Timeout(max(self.remaining_s(), 0.001), False):
-            return self.tools.port.is_reachable(server)
+            return check()
         return False
 
     def check_link(self, server: ServerEntry) -> None:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/server_paths.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/server_paths.py
@@ -122,6 +122,11 @@
         self.report = report
 
 
+def report_of(error: OSError) -> PathReport | None:
+    """Returns what another node reported, None if it reported nothing."""
+    return error.report if isinstance(error, PeerPathError) else None
+
+
 class PeerPathPort(Protocol[OpenedT_co]):
     """Asks other nodes for paths to servers."""
 
@@ -263,7 +268,7 @@
                 connection = self.peers.open_path(node, server, remaining_s)
             except OSError as error:
                 self.record_refusal(node, error)
-                report = getattr(error, "report", None)
+                report = report_of(error)
                 if report is None or not report.has_contact:
                     continue
                 failed_with_contact += 1
@@ -285,7 +290,7 @@
         A node whose links hold is not excluded for a server that refused it.
         """
         self.metrics.incr("paths.peer_failed")
-        report = getattr(error, "report", None)
+        report = report_of(error)
         if report is not None and report.has_contact:
             return
         is_busy = isinstance(error, PeerPathError) and report is None
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -425,9 +425,9 @@
         if self.tools.clock() - last_data_at <= PROBE_S:
             return False
         through_peer = self.peer is not None
-        with gevent.Timeout(max(self.remaining_s(), 0.001), False):
-            return not self.tools.port.is_path_alive(server, through_peer)
-        return True
+        return not self.holds_in_time(
+            lambda: self.tools.port.is_path_alive(server, through_peer)
+        )
 
     def last_byte_at(self, server: ServerEntry) -> float:
         """Returns when a server last sent data to any request."""
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -386,9 +386,8 @@
         # A fleet that starts for the first time may wait for seconds until its
         # configuration is written, and needs nothing else until then.
         self.wait_at_start(started_at, lambda: self.config.config is not None)
-        for follower in self.followers:
-            if follower is not self.config_follower:
-                follower.start()
+        self.server_follower.start()
+        self.status_follower.start()
         self.wait_at_start(started_at, self.is_ready)
         self.fleet.announce()
         self.announced = True
