--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -449,6 +449,9 @@
             return
         if head.leaving:
             self.tools.statements.record_leaving(server)
+        self.tools.statements.record_brittle(server, head.max_refusals)
+        if head.not_run and head.max_refusals is not None:
+            self.tools.metrics.incr("brittle_servers.refusals")
         if head.status == 503 and head.retry_after_s is not None:
             self.tools.statements.record_pause(server, head.retry_after_s)
 
@@ -489,6 +492,7 @@
                 "own": health.own_requests,
                 "others": health.other_requests,
                 "failures": round(health.failure_share, 2),
+                "brittle": self.tools.statements.max_refusals(server),
                 **more,
             }
         )
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -130,6 +130,8 @@
         leaving: The server leaves and wants no new request.
         retry_after_s: Time for which it wants no request after one that it
             refused, in seconds, None if not stated.
+        max_refusals: Requests that the server, which is brittle, may turn away
+            in one second before it falls over; None if it is not brittle.
     """
 
     status: int
@@ -143,6 +145,7 @@
     encoded: bool = False
     leaving: bool = False
     retry_after_s: float | None = None
+    max_refusals: float | None = None
 
 
 class FailureKind(enum.Enum):
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -451,6 +451,7 @@
         self.upstreams.prune(instance_keys)
         self.links.keep_only(instance_keys)
         self.statements.keep_only(instance_keys)
+        self.metrics.gauge("servers_brittle", len(self.statements.brittle))
         self.metrics.gauge("links_lost", len(self.links.lost))
         self.metrics.gauge("peer_paths_open", self.peer_paths.running)
 
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_statements.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_statements.py
@@ -1,23 +1,48 @@
 """What servers have said of themselves in their answers to this node."""
 
+import dataclasses
 import logging
 from collections.abc import Callable
 
 from amaranthlug.state.routing.servers import ServerEntry
 
+BRITTLE_HOLD_S = 10.0
+"""Time for which a statement that servers are brittle holds unless they repeat
+it, in seconds; where many nodes use few servers, a node hears from each of them
+every few seconds only."""
+
 log = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(frozen=True)
+class Brittleness:
+    """A statement that the servers of a service are brittle.
+
+    Attributes:
+        max_refusals: Requests that a server may turn away in one second; one
+            more makes it fall over.
+        heard_at: Clock when a server last said so, in seconds.
+    """
+
+    max_refusals: float
+    heard_at: float
+
+
 class ServerStatements:
-    """Servers that want no new requests from this node.
+    """What holds for servers since they said so themselves.
 
     A statement concerns one instance; another one at its address is not bound
-    by it.
+    by it. Only brittleness is one of all servers of a service, so it also
+    holds for those that this node has not heard since.
 
     Attributes:
         leaving: Instances that leave, until they are removed.
         paused_until: Instance -> clock until which it wants no request, in
             seconds.
+        brittle: Instance -> its statement that it is brittle.
+        brittle_services: Service -> latest such statement of a server of it.
+        sound_at: Instance -> clock when it last answered without such a
+            statement, in seconds.
     """
 
     def __init__(self, clock: Callable[[], float]):
@@ -25,6 +50,9 @@
         self.clock = clock
         self.leaving: set[tuple[str, int]] = set()
         self.paused_until: dict[tuple[str, int], float] = {}
+        self.brittle: dict[tuple[str, int], Brittleness] = {}
+        self.brittle_services: dict[str, Brittleness] = {}
+        self.sound_at: dict[tuple[str, int], float] = {}
 
     def record_leaving(self, server: ServerEntry) -> None:
         """Records a server that gets no new request from now on."""
@@ -75,8 +103,68 @@
         del self.paused_until[key]
         return True
 
+    def record_brittle(
+        self, server: ServerEntry, max_refusals: float | None
+    ) -> None:
+        """Records whether an answer says that its server is brittle.
+
+        Args:
+            server: The server.
+            max_refusals: Requests that it may turn away in one second, None if
+                the answer does not say that it is brittle.
+        """
+        key = server.instance_key
+        was_brittle = self.max_refusals(server) is not None
+        if max_refusals is None:
+            self.brittle.pop(key, None)
+            if server.service in self.brittle_services:
+                self.sound_at[key] = self.clock()
+        else:
+            statement = Brittleness(max_refusals, self.clock())
+            self.brittle[key] = statement
+            self.brittle_services[server.service] = statement
+        if was_brittle != (max_refusals is not None):
+            log.info(
+                "server %s is %s",
+                server.server_id,
+                "no longer brittle" if was_brittle else "brittle",
+                extra={
+                    "event": "server_brittle",
+                    "server": server.server_id,
+                    "service": server.service,
+                    "max_refusals": max_refusals,
+                },
+            )
+
+    def max_refusals(self, server: ServerEntry) -> float | None:
+        """Returns how many requests a brittle server may turn away a second.
+
+        Returns None if the server is not known to be brittle.
+        """
+        key = server.instance_key
+        statement = self.brittle.get(key)
+        if statement is None:
+            statement = self.brittle_services.get(server.service)
+            sound_at = self.sound_at.get(key)
+            if (
+                statement is None
+                or sound_at is not None
+                and sound_at >= statement.heard_at
+            ):
+                return None
+        if self.clock() - statement.heard_at > BRITTLE_HOLD_S:
+            return None
+        return statement.max_refusals
+
     def keep_only(self, listed: set[tuple[str, int]]) -> None:
-        """Forgets instances that are not listed."""
+        """Forgets instances that are not listed and what has expired."""
         self.leaving &= listed
-        for key in [key for key in self.paused_until if key not in listed]:
-            del self.paused_until[key]
+        for by_instance in (self.paused_until, self.brittle, self.sound_at):
+            for key in [key for key in by_instance if key not in listed]:
+                del by_instance[key]
+        now = self.clock()
+        self.brittle_services = {
+            service: statement
+            for service, statement in self.brittle_services.items()
+            if now - statement.heard_at <= BRITTLE_HOLD_S
+        }
