Keep brittle servers from falling over by counting what all nodes send

Cause: a bound on the sum over all nodes, of which each node sees only its own part. A node always found a server, as it knew its own requests and an old load, and what was turned away went on to the next full server. Class: a limit that holds for all nodes together is kept by nobody.

Now each node asks the owner of a brittle server, the first serving node in its rendezvous order, before it sends there. The owner counts what all nodes use and grants up to the slots. Reports repeat what runs, so a lost one heals; usage of a silent node expires; a new owner grants half until all have reported; refusals lower what is granted. Nodes of earlier builds are no owners. One statement holds for all servers of the service, since a node of a large fleet hears from few.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -8,6 +8,7 @@
 import gevent
 
 from amaranthlug.coordination.platform import Metrics
+from amaranthlug.coordination.routing.grant_owners import GrantOwners
 from amaranthlug.protocol.retry_budget import RetryBudget
 from amaranthlug.protocol.routing.answer_buffers import AnswerBuffers
 from amaranthlug.protocol.routing.crash_watch import CrashWatch
@@ -57,6 +58,9 @@
 RETRY_AFTER_S = (0.2, 0.7)
 """Range of the random retry delay sent to refused callers, in seconds."""
 
+MAX_DENIALS = 8
+"""Most servers without room for which a request asks before it waits."""
+
 MAX_ERROR_TEXT = 120
 """Most characters of an error in the log line of a request."""
 
@@ -84,6 +88,7 @@
         speeds: Compares the speed of streams between versions.
         buffers: Limits the memory of answers that are buffered.
         statements: Knows the servers that want no new requests.
+        grants: Limits what all nodes together send to servers in need.
         metrics: Counters and durations.
         clock: Returns seconds, including time in which the VM was paused.
         record_outcome: Receives service, version, route and whether the answer
@@ -103,6 +108,7 @@
     speeds: VersionSpeeds
     buffers: AnswerBuffers
     statements: ServerStatements
+    grants: GrantOwners
     metrics: Metrics
     clock: Callable[[], float]
     record_outcome: Callable[[str, str, str, bool], None]
@@ -172,6 +178,9 @@
         )
         self.tried: set[tuple[str, int]] = set()
         self.checked_links: set[tuple[str, int]] = set()
+        self.granted: list[ServerEntry] = []
+        self.granted_successor: ServerEntry | None = None
+        self.denials = 0
         self.attempts_sent = 0
         self.may_have_run = False
         self.retry_reserved = False
@@ -192,16 +201,27 @@
         Returns:
             Outcome and status, or the reply of the node itself.
         """
+        try:
+            return self.send_until_answered()
+        finally:
+            for server in list(self.granted):
+                self.release_room(server)
+
+    def send_until_answered(self) -> ExchangeResult:
+        """Sends the request to one server after the other."""
         while self.handed is not None or (
             self.may_pass_block() and self.may_attempt()
         ):
             server = self.take_successor() or self.choose(
                 self.context.candidates()
             )
-            if server is None:
+            if server is None or self.denials >= MAX_DENIALS:
                 if self.attempts_sent == 0 and self.wait_for_server():
+                    self.denials = 0
                     continue
                 break
+            if self.handed is None and not self.take_room(server):
+                continue
             if self.handed is None and not self.context.may_send(self.context):
                 break
             self.tried.add(server.instance_key)
@@ -227,6 +247,29 @@
                 return result
         return self.finish_unanswered()
 
+    def take_room(self, server: ServerEntry) -> bool:
+        """Returns whether a server has room for an attempt, and takes it.
+
+        The room that `may_leave` took for a successor is used first.
+        """
+        former, self.granted_successor = self.granted_successor, None
+        if former is not None:
+            if former.instance_key == server.instance_key:
+                return True
+            self.release_room(former)
+        if not self.tools.grants.acquire(server):
+            self.denials += 1
+            self.context.trace.denied += 1
+            return False
+        self.granted.append(server)
+        return True
+
+    def release_room(self, server: ServerEntry) -> None:
+        """Gives the room of one attempt at a server back."""
+        if server in self.granted:
+            self.granted.remove(server)
+            self.tools.grants.release(server)
+
     def may_pass_block(self) -> bool:
         """Returns whether nothing blocks the request, or it tries a block."""
         blocked = self.blocked_subject()
@@ -328,8 +371,12 @@
                 health.record_silence(successor)
             return False
         # The probe may have taken a while.
-        if not self.could_continue() or not self.reserve_retry():
+        if not self.could_continue() or not self.take_room(successor):
+            return False
+        if not self.reserve_retry():
+            self.release_room(successor)
             return False
+        self.granted_successor = successor
         self.successor = successor
         return True
 
@@ -452,6 +499,7 @@
         self.tools.statements.record_brittle(server, head.max_refusals)
         if head.not_run and head.max_refusals is not None:
             self.tools.metrics.incr("brittle_servers.refusals")
+            self.tools.grants.record_refusal(server)
         if head.status == 503 and head.retry_after_s is not None:
             self.tools.statements.record_pause(server, head.retry_after_s)
 
@@ -531,6 +579,8 @@
             return self.blocked_reply(blocked)
         if not self.may_have_run:
             wait = self.tools.random.uniform(*RETRY_AFTER_S)
+            if self.context.trace.denied and not self.attempts_sent:
+                reason = "no_room"
             return LocalReply(503, reason, "no server took the request", wait)
         if self.remaining_s() <= 0:
             return LocalReply(504, "timeout", "no server answered in time")
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -118,6 +118,7 @@
         finally:
             close_if_open(reply or sent)
             tools.health.record_end(server)
+            self.release_room(server)
             self.record_attempt(server, started_at, outcome, error=error)
 
     def wait_head(self, server: ServerEntry, sent: SentCall) -> UpstreamReply:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/request_log.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/request_log.py
@@ -28,6 +28,7 @@
         attempts: One entry for each attempt at a server.
         first_event_ms: Time to the first event or answer, in milliseconds.
         waited_ms: Time spent waiting for a server, in milliseconds.
+        denied: Number of times that a server had no room for it.
         version_choice: Choice of the version for the first attempt.
         digest: Digest of the request, None if it was not needed.
         blocked_by: Request or part of its prompt that is blocked, None if it
@@ -42,6 +43,7 @@
     attempts: list[dict[str, Any]] = dataclasses.field(default_factory=list)
     first_event_ms: float | None = None
     waited_ms: float = 0.0
+    denied: int = 0
     version_choice: VersionChoice | None = None
     digest: str | None = None
     blocked_by: str | None = None
@@ -66,6 +68,7 @@
             "attempts": self.attempts,
             "session": self.request.session,
             **(self.version_choice.fields() if self.version_choice else {}),
+            **({"denied": self.denied} if self.denied else {}),
             **({"digest": self.digest} if self.digest else {}),
             **({"blocked_by": self.blocked_by} if self.blocked_by else {}),
         }
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
@@ -252,7 +252,12 @@
         if not trace.attempts:
             trace.version_choice = choice
         may_receive = self.tools.statements.may_receive
-        return [server for server in choice.servers if may_receive(server)]
+        may_ask = self.tools.grants.may_ask
+        return [
+            server
+            for server in choice.servers
+            if may_receive(server) and may_ask(server)
+        ]
 
     def retry_later(self, reason: str, message: str) -> RefusedError:
         """Returns a refusal that tells the caller when to retry."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -180,6 +180,7 @@
         finally:
             close_if_open(reply or sent)
             tools.health.record_end(server)
+            self.release_room(server)
             tools.queues.record_end(server, ticket)
             self.record_attempt(
                 server,
@@ -248,7 +249,7 @@
         within `HAND_OVER_S` has taken the request.
         """
         server = self.take_successor()
-        if server is None:
+        if server is None or not self.take_room(server):
             return False
         started_at = self.tools.clock()
         sent: SentCall | None = None
@@ -266,6 +267,7 @@
                 pass  # It neither refused nor answered yet.
         except UpstreamCallError as failure:
             close_if_open(reply or sent)
+            self.release_room(server)
             self.tried.add(server.instance_key)
             self.record_failure(server, failure)
             self.tools.crashes.record_failure(
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -25,6 +25,13 @@
     NoticePort,
 )
 from amaranthlug.coordination.routing.fleet_view import FleetView
+from amaranthlug.coordination.routing.grant_owners import (
+    REPORT_PERIOD_S as GRANT_REPORT_PERIOD_S,
+)
+from amaranthlug.coordination.routing.grant_owners import (
+    GrantOwners,
+    GrantPort,
+)
 from amaranthlug.coordination.routing.keyed_store import KeyedStore
 from amaranthlug.coordination.routing.relay import Relay
 from amaranthlug.coordination.routing.relay_client import RelayClient
@@ -164,7 +171,12 @@
 
 
 class NodePort(
-    PeerPort, ClaimPort, NoticePort, PeerPathPort[HttpConnection], Protocol
+    PeerPort,
+    ClaimPort,
+    NoticePort,
+    GrantPort,
+    PeerPathPort[HttpConnection],
+    Protocol,
 ):
     """Sends all messages to other nodes."""
 
@@ -300,6 +312,13 @@
         )
         self.upstreams = UpstreamPool(headers, self.paths)
         self.statements = ServerStatements(boot_seconds)
+        self.grants = GrantOwners(
+            settings.name,
+            self.fleet.nodes,
+            self.statements,
+            peers,
+            self.metrics,
+        )
         self.links.receive_loss = self.record_lost_link
         self.server_ends = ServerEnds(
             self.upstreams, self.health, self.servers, self.metrics
@@ -335,6 +354,7 @@
             ),
             buffers=AnswerBuffers(),
             statements=self.statements,
+            grants=self.grants,
             metrics=self.metrics,
             clock=boot_seconds,
             record_outcome=self.rollouts.count_answer,
@@ -360,6 +380,7 @@
         self.update_retry_budget()
         self.timers.every("report", REPORT_PERIOD_S, self.sync_fleet)
         self.timers.every("links", LINK_PERIOD_S, self.paths.probe_lost)
+        self.timers.every("grants", GRANT_REPORT_PERIOD_S, self.grants.report)
         self.timers.every("rollouts", ROLLOUT_PERIOD_S, self.advance_rollouts)
         for name, callback in (
             ("tidy", self.prune_departed_servers),
@@ -451,6 +472,7 @@
         self.upstreams.prune(instance_keys)
         self.links.keep_only(instance_keys)
         self.statements.keep_only(instance_keys)
+        self.grants.keep_only(listed)
         self.metrics.gauge("servers_brittle", len(self.statements.brittle))
         self.metrics.gauge("links_lost", len(self.links.lost))
         self.metrics.gauge("peer_paths_open", self.peer_paths.running)
@@ -526,6 +548,7 @@
             config_version=self.config_version(),
             reaches_servers=not self.links.is_cut(),
             capacity=settings.processor.capacity,
+            grants_requests=True,
         )
 
     def config_version(self) -> int:
--- a/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
@@ -29,6 +29,8 @@
         config_version: Version of its configuration, -1 without one.
         reaches_servers: False while it reaches servers only through others.
         capacity: Processor of its VM in standard cores, 0 if unknown.
+        grants_requests: It can count what all nodes send to a server; false
+            for nodes of earlier builds.
     """
 
     node: str
@@ -42,6 +44,7 @@
     config_version: int = -1
     reaches_servers: bool = True
     capacity: float = 0.0
+    grants_requests: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_statements.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_statements.py
@@ -146,10 +146,8 @@
         if statement is None:
             statement = self.brittle_services.get(server.service)
             sound_at = self.sound_at.get(key)
-            if (
-                statement is None
-                or sound_at is not None
-                and sound_at >= statement.heard_at
+            if statement is None or (
+                sound_at is not None and sound_at >= statement.heard_at
             ):
                 return None
         if self.clock() - statement.heard_at > BRITTLE_HOLD_S:
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -11,6 +11,11 @@
     NoticeAnswer,
     SuspectNotice,
 )
+from amaranthlug.coordination.routing.grant_owners import (
+    GrantAnswer,
+    GrantOwners,
+    GrantRequest,
+)
 from amaranthlug.coordination.routing.relay import Relay
 from amaranthlug.coordination.routing.relay_messages import (
     RelayAnswer,
@@ -50,14 +55,15 @@
 TOPICS_PATH = "/peer/topics"
 CLAIM_PATH = "/peer/session-claim"
 NOTICE_PATH = "/peer/suspects"
+GRANT_PATH = "/peer/grants"
 CONNECT_TIMEOUT_S = 0.3
 """Longest wait for a connection to another node, in seconds."""
 MAX_ANSWER_BYTES = 16 << 20
 """Largest response of a node, in bytes; a configuration with thousands of
 routes takes less than a tenth of it."""
-MAX_IDLE_CONNECTIONS = 2
+MAX_IDLE_CONNECTIONS = 4
 """Most idle connections kept to a node: one for exchanges with a relay, which
-it holds open for a while, and one for claims."""
+it holds open for a while, one for claims and two for requests for grants."""
 MAX_IDLE_NODES = 64
 """Most nodes to which idle connections are kept; those of the least recently
 used one are closed first, also if that node is gone."""
@@ -66,22 +72,24 @@
 
 
 class PeerEndpoint:
-    """Serves relay exchanges, claims, notices and paths to other nodes."""
+    """Serves all messages of other nodes."""
 
     def __init__(
         self,
         relay: Relay,
         owners: SessionOwners,
         suspects: FleetSuspects,
+        grants: GrantOwners,
         paths: PeerPaths,
     ):
-        """Creates an endpoint for a relay, session owner and suspects."""
+        """Creates an endpoint for the parts of a node that answer others."""
         self.paths = paths
         self.handlers: dict[str, tuple[type, Callable[[Any], Any]]] = {
             EXCHANGE_PATH: (RelayRequest, relay.answer),
             TOPICS_PATH: (TopicsRequest, relay.answer_relay),
             CLAIM_PATH: (ClaimRequest, owners.answer),
             NOTICE_PATH: (SuspectNotice, suspects.receive),
+            GRANT_PATH: (GrantRequest, grants.answer),
             CHECK_PATH: (PathRequest, paths.check),
         }
 
@@ -169,6 +177,16 @@
         """
         return self.post(address, NOTICE_PATH, notice, timeout_s, NoticeAnswer)
 
+    def ask_grant(
+        self, address: str, request: GrantRequest, timeout_s: float
+    ) -> GrantAnswer:
+        """Returns the answer of the owner of a server at `address`.
+
+        Raises:
+            OSError: The node could not be reached or its response is invalid.
+        """
+        return self.post(address, GRANT_PATH, request, timeout_s, GrantAnswer)
+
     def check_path(
         self, node: NodeEntry, server: ServerEntry, timeout_s: float
     ) -> PathReport:
--- a/test/_streams.py
+++ b/test/_streams.py
@@ -6,6 +6,7 @@
 from _crash_watch import make_watch
 from _routing import FakeClock, make_request, make_route, make_server
 
+from amaranthlug.coordination.routing.grant_owners import GrantOwners
 from amaranthlug.protocol.retry_budget import RetryBudget
 from amaranthlug.protocol.routing.answer_buffers import AnswerBuffers
 from amaranthlug.protocol.routing.engine_queues import EngineQueues
@@ -122,6 +123,11 @@
         """Drops its end."""
 
 
+def make_grants(statements: ServerStatements, clock: FakeClock) -> GrantOwners:
+    """Returns the grants of a node without others."""
+    return GrantOwners("node-1", list, statements, None, NoMetrics(), clock)
+
+
 class StreamHarness:
     """Sends streams to one engine for each version, in simulated time."""
 
@@ -132,6 +138,7 @@
         started_at = clock()
         health = ServerHealthTracker(clock)
         queues = EngineQueues(clock)
+        statements = ServerStatements(clock)
         self.route = make_route(
             kind=RouteKind.STREAMING, objective_ms=1_000, timeout_ms=20_000
         )
@@ -146,7 +153,8 @@
             queues=queues,
             crashes=make_watch(),
             buffers=AnswerBuffers(),
-            statements=ServerStatements(clock),
+            statements=statements,
+            grants=make_grants(statements, clock),
             speeds=VersionSpeeds(clock, tracker.target_of, tracker.count),
             metrics=NoMetrics(),
             clock=clock,
--- a/test/test_brittle_servers.py
+++ b/test/test_brittle_servers.py
@@ -1,6 +1,5 @@
 """Tests of servers that fall over when they turn too many requests away."""
 
-import gevent
 import pytest
 from _platform_fleet import PlatformFleet
 from _routing import FakeClock, make_server
@@ -33,7 +32,8 @@
         delay_s=REQUEST_S,
         restart_s=3.0,
     )
-    gevent.sleep(1.0)  # Until all nodes have read the entries.
+    # Until all nodes have read the entries and heard that servers are brittle.
+    send_evenly(started, 0.3 * BEARABLE, 1.5)
     yield started
     started.stop()
 
@@ -43,8 +43,11 @@
 @pytest.mark.parametrize("load", [1.0, 1.5, 2.5])
 def test_brittle_servers_do_not_fall_over_under_load(fleet, load):
     """Two and a tenth of the servers may."""
-    send_evenly(fleet, load * BEARABLE, LOAD_S)
+    statuses = send_evenly(fleet, load * BEARABLE, LOAD_S)
     assert falls(fleet) <= 2 + SERVERS // 10
+    if load > 1:  # Else there is not always a request for a free slot.
+        assert statuses[200] >= 0.95 * BEARABLE * LOAD_S
+    assert not any(+node.grants.running for node in fleet.nodes)
 
 
 # Guards against the same where all callers are at one node of three.
