Read and log the limits that servers name

A change is one log line, attempts in request lines name the limit, and a gauge is added. Decisions do not change.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -497,6 +497,7 @@
         if head.leaving:
             self.tools.statements.record_leaving(server)
         self.tools.statements.record_brittle(server, head.max_refusals)
+        self.tools.statements.record_limit(server, head.limit, self.began_at)
         if head.not_run and head.max_refusals is not None:
             self.tools.metrics.incr("brittle_servers.refusals")
             self.tools.grants.record_refusal(server)
@@ -541,6 +542,7 @@
                 "others": health.other_requests,
                 "failures": round(health.failure_share, 2),
                 "brittle": self.tools.statements.max_refusals(server),
+                "limit": self.tools.statements.limit(server),
                 **more,
             }
         )
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -132,6 +132,8 @@
             refused, in seconds, None if not stated.
         max_refusals: Requests that the server, which is brittle, may turn away
             in one second before it falls over; None if it is not brittle.
+        limit: Requests a second that the server takes from all nodes together,
+            None if it names no limit.
     """
 
     status: int
@@ -146,6 +148,7 @@
     leaving: bool = False
     retry_after_s: float | None = None
     max_refusals: float | None = None
+    limit: float | None = None
 
 
 class FailureKind(enum.Enum):
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -474,6 +474,7 @@
         self.statements.keep_only(instance_keys)
         self.grants.keep_only(listed)
         self.metrics.gauge("servers_brittle", len(self.statements.brittle))
+        self.metrics.gauge("servers_limited", len(self.statements.limits))
         self.metrics.gauge("links_lost", len(self.links.lost))
         self.metrics.gauge("peer_paths_open", self.peer_paths.running)
 
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_statements.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_statements.py
@@ -28,6 +28,19 @@
     heard_at: float
 
 
+@dataclasses.dataclass(frozen=True)
+class NamedLimit:
+    """A server's limit on what it takes from all nodes together.
+
+    Attributes:
+        per_second: Requests a second.
+        heard_at: Clock when it last named the limit, in seconds.
+    """
+
+    per_second: float
+    heard_at: float
+
+
 class ServerStatements:
     """What holds for servers since they said so themselves.
 
@@ -43,6 +56,7 @@
         brittle_services: Service -> latest such statement of a server of it.
         sound_at: Instance -> clock when it last answered without such a
             statement, in seconds.
+        limits: Instance -> its limit on the requests of all nodes.
     """
 
     def __init__(self, clock: Callable[[], float]):
@@ -53,6 +67,7 @@
         self.brittle: dict[tuple[str, int], Brittleness] = {}
         self.brittle_services: dict[str, Brittleness] = {}
         self.sound_at: dict[tuple[str, int], float] = {}
+        self.limits: dict[tuple[str, int], NamedLimit] = {}
 
     def record_leaving(self, server: ServerEntry) -> None:
         """Records a server that gets no new request from now on."""
@@ -136,6 +151,43 @@
                 },
             )
 
+    def record_limit(
+        self, server: ServerEntry, per_second: float | None, sent_at: float
+    ) -> None:
+        """Records whether an answer names a limit.
+
+        Args:
+            server: The server.
+            per_second: Requests a second that it takes from all nodes
+                together, None if the answer names no limit.
+            sent_at: Clock when the request was sent, in seconds. An answer to
+                an earlier one does not end a limit.
+        """
+        key = server.instance_key
+        former = self.limits.get(key)
+        if per_second is not None:
+            self.limits[key] = NamedLimit(per_second, self.clock())
+        elif former is not None and sent_at >= former.heard_at:
+            del self.limits[key]
+        elif former is not None:
+            return
+        if per_second != (former.per_second if former else None):
+            log.info(
+                "server %s takes %s requests a second",
+                server.server_id,
+                "any number of" if per_second is None else per_second,
+                extra={
+                    "event": "server_limit",
+                    "server": server.server_id,
+                    "per_second": per_second,
+                },
+            )
+
+    def limit(self, server: ServerEntry) -> float | None:
+        """Returns the requests a second that a server takes, None if any."""
+        named = self.limits.get(server.instance_key)
+        return None if named is None else named.per_second
+
     def max_refusals(self, server: ServerEntry) -> float | None:
         """Returns how many requests a brittle server may turn away a second.
 
@@ -157,7 +209,12 @@
     def keep_only(self, listed: set[tuple[str, int]]) -> None:
         """Forgets instances that are not listed and what has expired."""
         self.leaving &= listed
-        for by_instance in (self.paused_until, self.brittle, self.sound_at):
+        for by_instance in (
+            self.paused_until,
+            self.brittle,
+            self.sound_at,
+            self.limits,
+        ):
             for key in [key for key in by_instance if key not in listed]:
                 del by_instance[key]
         now = self.clock()
