Keep within the limits that servers name by counting what all nodes send

Cause: the header was not read, and a node that obeyed it alone would have sent an eighth of the sum.

The owner of a server now grants its limit as well: the rate, with one request and half a second of it at once after a pause. Denials say when more fits, so that nodes do not ask before. A limit is granted down to 0.2 requests a second, as only answers show its end. Nodes that reach no owner keep to an even share.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
@@ -1,8 +1,8 @@
 """Grants of requests at servers that limit what they take from all nodes.
 
-While a server is brittle, each node asks before it sends there. The owner of
-the server, the first serving node in its rendezvous order, counts what all
-nodes use and grants what fits.
+While a server is brittle or names a limit, each node asks before it sends
+there. The owner of the server, the first serving node in its rendezvous order,
+counts what all nodes use and grants what fits.
 """
 
 import collections
@@ -17,7 +17,12 @@
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.state.rendezvous import rendezvous_order
 from amaranthlug.state.routing.fleet import NodeEntry
-from amaranthlug.state.routing.server_grants import ServerGrants, ServerUsage
+from amaranthlug.state.routing.server_grants import (
+    FULL_S,
+    MIN_RATE,
+    ServerGrants,
+    ServerUsage,
+)
 from amaranthlug.state.routing.server_statements import ServerStatements
 from amaranthlug.state.routing.servers import ServerEntry
 
@@ -28,9 +33,6 @@
 quota stops for up to 0.1 s."""
 AVOID_S = 1.0
 """Time before a node that did not answer is asked again, in seconds."""
-FULL_S = 0.02
-"""Time for which a server that had no room is not asked for again, in seconds;
-without it each request that is refused would ask for all servers."""
 REPORT_PERIOD_S = 0.5
 """Period of the reports of what this node uses, in seconds."""
 
@@ -60,12 +62,13 @@
 
     Attributes:
         granted: The request may be sent.
-        full: Servers of this owner to which nothing is granted at present;
-            only stated if the request was not granted.
+        full: Servers of this owner to which nothing is granted at present,
+            and for how long, in seconds; only stated if the request was not
+            granted.
     """
 
     granted: bool
-    full: list[str]
+    full: dict[str, float]
 
 
 class GrantPort(Protocol):
@@ -118,6 +121,7 @@
         self.metrics = metrics
         self.clock = clock
         self.grants = ServerGrants(clock)
+        self.even_share = ServerGrants(clock)
         self.running: collections.Counter[tuple[str, int]] = (
             collections.Counter()
         )
@@ -171,7 +175,10 @@
 
     def is_limited(self, server: ServerEntry) -> bool:
         """Returns whether requests at a server have to be granted."""
-        return self.statements.max_refusals(server) is not None
+        return (
+            self.statements.max_refusals(server) is not None
+            or self.statements.limit(server) is not None
+        )
 
     def ask(self, server: ServerEntry) -> bool:
         """Asks for one request at a server, counted in `running`."""
@@ -187,8 +194,8 @@
             granted = self.fits_even_share(server)
             self.metrics.incr("grants.unanswered")
         self.metrics.incr("grants.given" if granted else "grants.denied")
-        if not granted:
-            self.mark_full([server.instance_name])
+        if not granted and self.may_ask(server):
+            self.mark_full({server.instance_name: FULL_S})
         return granted
 
     def grant_here(self, server: ServerEntry) -> bool:
@@ -211,29 +218,35 @@
         return answer.granted
 
     def fits_even_share(self, server: ServerEntry) -> bool:
-        """Returns whether a request fits an even share of the slots.
+        """Returns whether a request fits an even share of slots and limit.
 
         It is what a node may use while no owner answers.
         """
-        share = server.slots // max(1, len(self.nodes()))
-        return self.running[server.instance_key] <= max(1, share)
+        nodes = max(1, len(self.nodes()))
+        usage = self.usage_for(self.own_name, server)
+        usage = dataclasses.replace(
+            usage,
+            slots=max(1, usage.slots // nodes),
+            limit=None if usage.limit is None else usage.limit / nodes,
+        )
+        return self.even_share.grant(self.own_name, self.next_sequence(), usage)
 
-    def mark_full(self, names: list[str]) -> None:
-        """Asks for none of these servers for a moment."""
-        until = self.clock() + FULL_S
-        for name in names:
-            self.full_until[name] = until
+    def mark_full(self, waits: dict[str, float]) -> None:
+        """Asks for none of these servers for the given seconds."""
+        now = self.clock()
+        for name, wait_s in waits.items():
+            self.full_until[name] = now + wait_s
 
     def answer(self, request: GrantRequest) -> GrantAnswer:
         """Answers another node as the owner of the servers it names."""
         if not request.wanted:
             for usage in request.usage:
                 self.grants.update(request.node, request.sequence, usage)
-            return GrantAnswer(False, [])
+            return GrantAnswer(False, {})
         granted = self.grants.grant(
             request.node, request.sequence, request.usage[0]
         )
-        full = [] if granted else self.grants.full_servers()
+        full = {} if granted else self.grants.full_servers()
         return GrantAnswer(granted, full)
 
     def report(self) -> None:
@@ -296,6 +309,7 @@
         key = server.instance_key
         former = self.told.get(key, owner)
         self.told[key] = owner
+        limit = self.statements.limit(server)
         return ServerUsage(
             server.instance_name,
             self.running[key],
@@ -303,6 +317,7 @@
             self.statements.max_refusals(server),
             self.refused.pop(key, 0),
             former != owner,
+            None if limit is None else max(limit, MIN_RATE),
         )
 
     def next_sequence(self) -> int:
@@ -326,7 +341,9 @@
 
     def keep_only(self, listed: list[ServerEntry]) -> None:
         """Forgets servers that are not listed and what has expired."""
-        self.grants.keep_only({entry.instance_name for entry in listed})
+        names = {entry.instance_name for entry in listed}
+        self.grants.keep_only(names)
+        self.even_share.keep_only(names)
         now = self.clock()
         for until_by_name in (self.full_until, self.avoided_until):
             for name in [n for n, at in until_by_name.items() if at <= now]:
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import sys
 from collections.abc import Callable
 
 USAGE_EXPIRY_S = 2.0
@@ -20,6 +21,18 @@
 """Time for which each refusal lowers the number of requests that are granted by
 one, in seconds; requests that are not granted, such as those of nodes that have
 not heard of the limit, use slots as well."""
+FULL_S = 0.02
+"""Time for which a server without room is not asked for again, in seconds;
+without it each request that is refused would ask for all servers."""
+MIN_RATE = 0.2
+"""Requests a second that all nodes send to a server with a lower limit, also
+with one of zero; only answers show that a limit has ended."""
+BURST_REQUESTS = 1.0
+"""Requests that are granted at once after a pause, plus those of `BURST_S`."""
+BURST_S = 0.5
+"""Time for which unused grants of a server with a limit add up, in seconds."""
+SETTLING_SHARE = 0.5
+"""Share of slots and rate that a new owner grants before it has settled."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -34,6 +47,8 @@
             not brittle.
         refused: Requests of the node that it turned away since the last report.
         moved: The node has sent its last report to another owner.
+        limit: Requests a second that the server takes from all nodes, None if
+            it names no limit.
     """
 
     server: str
@@ -42,6 +57,7 @@
     max_refusals: float | None = None
     refused: int = 0
     moved: bool = False
+    limit: float | None = None
 
 
 @dataclasses.dataclass
@@ -64,6 +80,9 @@
         max_refusals: As in `ServerUsage`.
         nodes: Node -> its usage.
         refusals: Clock readings of requests that it turned away.
+        limit: As in `ServerUsage`.
+        unused: Grants within the limit that may be used at once.
+        counted_at: Clock to which `unused` applies, in seconds.
     """
 
     settled_at: float | None = None
@@ -73,6 +92,9 @@
     refusals: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
+    limit: float | None = None
+    unused: float = 0.0
+    counted_at: float = 0.0
 
     def update(
         self, node: str, sequence: int, usage: ServerUsage, now: float
@@ -83,6 +105,10 @@
         self.refusals.extend([now] * usage.refused)
         if usage.moved and self.settled_at is None:
             self.settled_at = now + SETTLE_S
+        self.add_unused(now)
+        if self.limit is None and usage.limit is not None:
+            self.unused = 0.0 if usage.moved else BURST_REQUESTS
+        self.limit = usage.limit
         known = self.nodes.get(node)
         if known is None or sequence > known.sequence:
             self.nodes[node] = NodeUsage(usage.running, sequence, now)
@@ -95,18 +121,48 @@
             if now - usage.heard_at <= USAGE_EXPIRY_S
         )
 
+    def is_settling(self, now: float) -> bool:
+        """Returns whether a former owner's grants may be unknown here."""
+        return self.settled_at is not None and now < self.settled_at
+
+    def rate(self, now: float) -> float:
+        """Returns the requests a second that are granted within the limit."""
+        rate = self.limit or MIN_RATE
+        return rate * SETTLING_SHARE if self.is_settling(now) else rate
+
+    def add_unused(self, now: float) -> None:
+        """Adds the grants of the time since they were last counted."""
+        rate = self.rate(now)
+        self.unused = min(
+            self.unused + (now - self.counted_at) * rate,
+            BURST_REQUESTS + BURST_S * rate,
+        )
+        self.counted_at = now
+
+    def wait_s(self, now: float) -> float:
+        """Returns when one more request may fit, in seconds from now."""
+        wait = 0.0
+        if self.max_refusals is not None and (
+            self.running(now) >= self.room(now)
+        ):
+            wait = FULL_S
+        if self.limit is not None:
+            self.add_unused(now)
+            wait = max(wait, (1.0 - self.unused) / self.rate(now))
+        return wait
+
     def room(self, now: float) -> int:
-        """Returns the number of requests that may be at the server."""
+        """Returns the number of requests that may be at a brittle server."""
         if self.max_refusals is None:
-            return self.slots
+            return sys.maxsize
         while self.refusals and now - self.refusals[0] > ROOM_LOSS_S:
             self.refusals.popleft()
         recent = sum(1 for at in self.refusals if now - at <= REFUSAL_WINDOW_S)
         if recent and recent >= REFUSAL_SHARE * self.max_refusals:
             return 0
         slots = self.slots
-        if self.settled_at is not None and now < self.settled_at:
-            slots //= 2
+        if self.is_settling(now):
+            slots = int(slots * SETTLING_SHARE)
         return max(1, slots - len(self.refusals))
 
 
@@ -145,17 +201,20 @@
             others -= known.running
         server.update(node, sequence, usage, now)
         granted = others + running <= server.room(now)
+        if server.limit is not None:
+            granted = granted and server.unused >= 1.0
+            server.unused -= granted
         server.nodes[node].running = running if granted else running - 1
         return granted
 
-    def full_servers(self) -> list[str]:
-        """Returns the instances to which nothing more is granted now."""
+    def full_servers(self) -> dict[str, float]:
+        """Returns the instances to which nothing more is granted now.
+
+        Each with the time until that may change, in seconds.
+        """
         now = self.clock()
-        return [
-            name
-            for name, server in self.servers.items()
-            if server.running(now) >= server.room(now)
-        ]
+        waits = {name: s.wait_s(now) for name, s in self.servers.items()}
+        return {name: wait for name, wait in waits.items() if wait > 0}
 
     def find(self, name: str) -> GrantedServer:
         """Returns what is known of an instance, nothing if it is new."""
--- a/test/test_server_grants.py
+++ b/test/test_server_grants.py
@@ -7,12 +7,12 @@
 from _streams import NoMetrics
 
 from amaranthlug.coordination.routing.grant_owners import (
-    FULL_S,
     GrantAnswer,
     GrantOwners,
     GrantRequest,
 )
 from amaranthlug.state.routing.server_grants import (
+    FULL_S,
     SETTLE_S,
     USAGE_EXPIRY_S,
     ServerGrants,
@@ -102,7 +102,7 @@
     """Whichever nodes ask."""
     granted = [grants.grant(f"node-{n}", 2, make_usage(1)) for n in range(6)]
     assert granted == [True] * SLOTS + [False] * 2
-    assert grants.full_servers() == ["s1@1"]
+    assert grants.full_servers() == {"s1@1": FULL_S}
     grants.update("node-0", 3, make_usage(0))
     assert grants.grant("node-5", 3, make_usage(1))
 
@@ -151,6 +151,45 @@
     assert register.grant("node-1", 4, make_usage(3))
 
 
+# Guards against nodes that together send a server more than the limit that it
+# has named.
+@pytest.mark.parametrize("limit", [0.5, 2.5, 10.0, 50.0])
+def test_limit_is_granted_once_over_all_nodes(grants, clock, limit):
+    """It is used up, and no window of 4 s gets one and a half times as much."""
+    times = []
+    for number in range(int(20 * 8 * limit)):
+        usage = make_usage(1, max_refusals=None, limit=limit)
+        if grants.grant(f"node-{number % 8}", number, usage):
+            times.append(clock())
+        clock.advance(1 / (8 * limit))
+    most = max(sum(1 for at in times if s <= at < s + 4.0) for s in times)
+    assert most <= 4 * limit + 0.5 * limit + 2
+    assert len(times) >= 0.95 * 20 * limit
+
+
+def test_server_says_when_more_fits_its_limit(grants):
+    """Nodes do not ask for it again before."""
+    usage = make_usage(1, max_refusals=None, limit=2.0)
+    assert grants.grant("node-1", 1, usage)
+    assert not grants.grant("node-1", 2, usage)
+    assert grants.full_servers() == {"s1@1": pytest.approx(0.5)}
+
+
+def test_even_shares_keep_a_limit(clock):
+    """Nodes that reach no owner send no more together than one with all."""
+    fleet = GrantFleet(clock, 20)
+    fleet.peers.lost |= {node.own_name for node in fleet.nodes}
+    sent = 0
+    for _ in range(40):
+        for node in fleet.nodes:
+            node.statements.record_brittle(fleet.server, None)
+            node.statements.record_limit(fleet.server, 2.0, clock())
+            sent += node.may_ask(fleet.server) and node.acquire(fleet.server)
+        clock.advance(0.25)
+    # The two nodes that are asked answer themselves.
+    assert sent <= 20 + 3 * 10 * 2.0 + 2 * 2
+
+
 def test_nodes_say_that_the_owner_has_changed(clock):
     """The new one cannot know by itself that there was another."""
     fleet = GrantFleet(clock, 5)
