Take no refusal without a request id for the answer on a kept connection

Cause: any answer from 300 up without an id was taken for the request's own. An answer without one now counts only where it is the first on a new connection, so that no earlier request can be meant; elsewhere it is skipped like that of another request, and neither its status nor what it says of the server is used. A connection through another node carries one request, so that it is never a kept one.

--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -116,9 +116,8 @@
         instance_key = call.server.instance_key
         if self.paths.links.is_hung(call.server):
             self.drop_idle(call.server)
-        connection = self.take_idle(
-            instance_key, call.repeatable
-        ) or self.connect(call)
+        kept = self.take_idle(instance_key, call.repeatable)
+        connection = kept or self.connect(call)
         if not call.may_send():
             connection.close()
             raise UpstreamCallError(
@@ -143,7 +142,7 @@
         except BaseException:
             connection.close()
             raise
-        return SentRequest(self, call, connection)
+        return SentRequest(self, call, connection, kept is not None)
 
     def is_reachable(self, server: ServerEntry) -> bool:
         """Returns whether a server's VM accepts a new connection.
@@ -308,12 +307,21 @@
         pool: UpstreamPool,
         call: UpstreamCall,
         connection: HttpConnection,
+        is_kept: bool = False,
     ):
-        """Wraps the connection on which the request was sent."""
+        """Wraps the connection on which the request was sent.
+
+        Args:
+            pool: The pool of connections.
+            call: The request.
+            connection: Where it was sent.
+            is_kept: The connection has carried other requests before.
+        """
         self.pool = pool
         self.call = call
         self.connection = connection
         self.peer = connection.peer
+        self.is_kept = is_kept
         self.skipped_responses = 0
 
     def reply(self, timeout_s: float) -> "Reply":
@@ -344,10 +352,12 @@
     def is_own_response(self, head: ReplyHead) -> bool:
         """Returns whether a response belongs to this request.
 
-        Only a response with status 300 or above may lack the request id.
+        Only a response with status 300 or above may lack the request id, and
+        only where no earlier request can be meant.
         """
         if head.request_id is None:
-            return head.status >= 300
+            is_first = not self.is_kept and not self.skipped_responses
+            return head.status >= 300 and is_first
         return head.request_id == self.call.request.request_id
 
     def skip_response(self, give_up_at: float) -> None:
