Go on with a stream only from an answer of the same content type

Looked for here: answers 500, 404 and 503 end in a cut stream, as before. But a server that answers 200 with a text and empty lines in it, as between events, got that text into the stream, which then ended as complete (two of the five cases of the test failed). Probes at used texts without empty lines, which are no events.

The splitter takes any block before an empty line for an event, and nothing compared the second head with the first. An answer of another content type now counts as a broken attempt, so that another server is tried or the stream is cut.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -150,6 +150,14 @@
     max_refusals: float | None = None
     limit: float | None = None
 
+    @property
+    def content_type(self) -> str:
+        """Returns the media type without parameters, empty if not stated."""
+        for name, value in self.forwarded_headers:
+            if name.lower() == "content-type":
+                return value.partition(";")[0].strip().lower()
+        return ""
+
 
 class FailureKind(enum.Enum):
     """How an attempt failed; values appear in logs and metrics.
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -76,6 +76,7 @@
         super().__init__(context, writer, tools)
         self.splitter = EventSplitter(self.request.last_event)
         self.is_streaming = False
+        self.content_type = ""
         self.model_index = tools.models.first_index(self.route)
 
     @property
@@ -164,6 +165,7 @@
             self.check_head(server, reply.head)
             if reply.head.status >= 300:
                 return self.relay_response(server, reply)
+            self.check_content_type(reply.head)
             timer.record_head()
             self.record_lateness(server, head_ms)
             self.check_confidence(server, reply.head)
@@ -203,6 +205,19 @@
             # A broken connection is a fault of the server, not of its version.
             self.tools.health.record_outcome(server, True)
 
+    def check_content_type(self, head: ReplyHead) -> None:
+        """Checks that an answer can go on with the stream that has begun.
+
+        Raises:
+            UpstreamCallError: It is of another type, such as a text.
+        """
+        if self.is_streaming and head.content_type != self.content_type:
+            raise UpstreamCallError(
+                FailureKind.BROKEN,
+                f"content type {head.content_type!r} does not go on with a "
+                f"stream of {self.content_type!r}",
+            )
+
     def check_confidence(self, server: ServerEntry, head: ReplyHead) -> None:
         """Drops an answer of low confidence if a larger model can retry it.
 
@@ -524,6 +539,7 @@
     def start_stream(self, reply: UpstreamReply, events: bytes) -> None:
         """Sends the head and the first events to the caller."""
         self.is_streaming = True
+        self.content_type = reply.head.content_type
         waited_ms = self.waited_ms()
         self.context.trace.first_event_ms = round(waited_ms, 1)
         self.tools.metrics.timing("first_event_ms", waited_ms)
