--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -206,12 +206,12 @@
             self.tools.health.record_outcome(server, True)
 
     def check_content_type(self, head: ReplyHead) -> None:
-        """Checks that an answer can go on with the stream that has begun.
+        """Checks that an answer is of the type of the stream that has begun.
 
         Raises:
             UpstreamCallError: It is of another type, such as a text.
         """
-        if self.is_streaming and head.content_type != self.content_type:
+        if self.content_type not in ("", head.content_type):
             raise UpstreamCallError(
                 FailureKind.BROKEN,
                 f"content type {head.content_type!r} does not go on with a "
