--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -58,7 +58,7 @@
 RETRY_AFTER_S = (0.2, 0.7)
 """Range of the random retry delay sent to refused callers, in seconds."""
 
-MAX_DENIALS = 8
+MAX_DENIALS = 4
 """Most servers without room for which a request asks before it waits."""
 
 MAX_ERROR_TEXT = 120
