Keep the statements of a server at its owner while some node repeats them

Found in reading the change, no caller saw it. A report of a node that had heard only that a server is brittle reset its limit at the owner, and the next one began it anew with one request at once, so that two nodes with different facts could exceed the limit; the same for brittleness. Statements now hold until no node has repeated them for two seconds. Besides: a server that was only asked for stayed in the table of what a node uses; reports after a restart of the VM, whose clock begins anew, were taken for old ones until the former ones were removed; a wait told to nodes is at most 1 s.

The test of the statements and that of the table fail without the change.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
@@ -148,15 +148,12 @@
             granted = not self.is_limited(server) or self.ask(server)
         finally:
             if not granted:
-                self.running[key] -= 1
+                self.count_end(key)
         return granted
 
     def release(self, server: ServerEntry) -> None:
         """Counts the end of a request at a server and tells its owner."""
-        key = server.instance_key
-        self.running[key] -= 1
-        if self.running[key] <= 0:
-            del self.running[key]
+        self.count_end(server.instance_key)
         if self.is_limited(server):
             owner = next(iter(self.owners(server)), None)
             if owner is None or owner.node == self.own_name:
@@ -164,6 +161,12 @@
             else:
                 gevent.spawn(self.report_to, owner, [server])
 
+    def count_end(self, key: tuple[str, int]) -> None:
+        """Counts one request less at an instance."""
+        self.running[key] -= 1
+        if self.running[key] <= 0:
+            del self.running[key]
+
     def record_refusal(self, server: ServerEntry) -> None:
         """Records that a server turned a request away for want of room."""
         self.refused[server.instance_key] += 1
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import sys
 from collections.abc import Callable
 
@@ -31,6 +32,9 @@
 """Requests that are granted at once after a pause, plus those of `BURST_S`."""
 BURST_S = 0.5
 """Time for which unused grants of a server with a limit add up, in seconds."""
+MAX_WAIT_S = 1.0
+"""Longest time for which a server without room is not asked for, in seconds;
+its limit may end or rise meanwhile."""
 SETTLING_SHARE = 0.5
 """Share of slots and rate that a new owner grants before it has settled."""
 
@@ -80,7 +84,10 @@
         max_refusals: As in `ServerUsage`.
         nodes: Node -> its usage.
         refusals: Clock readings of requests that it turned away.
+        brittle_at: Clock when a node last said that it is brittle, in seconds.
         limit: As in `ServerUsage`.
+        limited_at: Clock when a node last said that it names a limit, in
+            seconds.
         unused: Grants within the limit that may be used at once.
         counted_at: Clock to which `unused` applies, in seconds.
     """
@@ -92,7 +99,9 @@
     refusals: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
+    brittle_at: float = -math.inf
     limit: float | None = None
+    limited_at: float = -math.inf
     unused: float = 0.0
     counted_at: float = 0.0
 
@@ -101,18 +110,39 @@
     ) -> None:
         """Takes over a report of a node, unless a later one has arrived."""
         self.slots = usage.slots
-        self.max_refusals = usage.max_refusals
         self.refusals.extend([now] * usage.refused)
         if usage.moved and self.settled_at is None:
             self.settled_at = now + SETTLE_S
-        self.add_unused(now)
-        if self.limit is None and usage.limit is not None:
-            self.unused = 0.0 if usage.moved else BURST_REQUESTS
-        self.limit = usage.limit
-        known = self.nodes.get(node)
+        self.update_statements(usage, now)
+        known = self.recent_usage(node, now)
         if known is None or sequence > known.sequence:
             self.nodes[node] = NodeUsage(usage.running, sequence, now)
 
+    def update_statements(self, usage: ServerUsage, now: float) -> None:
+        """Takes over what a node has heard from the server.
+
+        A node may not have heard what others have, so that a statement holds
+        until no node has repeated it for a while.
+        """
+        if usage.max_refusals is not None:
+            self.max_refusals, self.brittle_at = usage.max_refusals, now
+        elif now - self.brittle_at > USAGE_EXPIRY_S:
+            self.max_refusals = None
+        self.add_unused(now)
+        if usage.limit is not None:
+            if self.limit is None:
+                self.unused = 0.0 if usage.moved else BURST_REQUESTS
+            self.limit, self.limited_at = usage.limit, now
+        elif now - self.limited_at > USAGE_EXPIRY_S:
+            self.limit = None
+
+    def recent_usage(self, node: str, now: float) -> NodeUsage | None:
+        """Returns the usage of a node, None if it has not repeated it."""
+        usage = self.nodes.get(node)
+        if usage is None or now - usage.heard_at > USAGE_EXPIRY_S:
+            return None
+        return usage
+
     def running(self, now: float) -> int:
         """Returns the requests of all nodes at the server."""
         return sum(
@@ -149,7 +179,7 @@
         if self.limit is not None:
             self.add_unused(now)
             wait = max(wait, (1.0 - self.unused) / self.rate(now))
-        return wait
+        return min(wait, MAX_WAIT_S)
 
     def room(self, now: float) -> int:
         """Returns the number of requests that may be at a brittle server."""
@@ -192,13 +222,13 @@
         """
         now = self.clock()
         server = self.find(usage.server)
-        known = server.nodes.get(node)
+        known = server.recent_usage(node, now)
         running = usage.running
-        if known is not None and sequence < known.sequence:
-            running = known.running + 1
         others = server.running(now)
-        if known is not None and now - known.heard_at <= USAGE_EXPIRY_S:
+        if known is not None:
             others -= known.running
+            if sequence < known.sequence:
+                running = known.running + 1
         server.update(node, sequence, usage, now)
         granted = others + running <= server.room(now)
         if server.limit is not None:
--- a/test/test_server_grants.py
+++ b/test/test_server_grants.py
@@ -167,6 +167,30 @@
     assert len(times) >= 0.95 * 20 * limit
 
 
+# Guards against a limit that starts anew each time a node reports that has
+# heard only that the server is brittle.
+def test_statement_holds_until_no_node_repeats_it(grants, clock):
+    """Nodes hear of a limit at different times."""
+    knows = make_usage(1, max_refusals=None, limit=2.0)
+    assert grants.grant("node-1", 1, knows)
+    for number in range(5):
+        grants.update("node-2", number, make_usage(0))
+        assert not grants.grant("node-1", 2 + number, knows)
+        clock.advance(0.05)
+    clock.advance(USAGE_EXPIRY_S)
+    grants.update("node-2", 9, make_usage(0))
+    assert grants.servers["s1@1"].limit is None
+
+
+def test_reports_after_a_restart_of_the_vm_count(grants, clock):
+    """Their numbers begin anew with its clock."""
+    grants.update("node-1", 1_000, make_usage(SLOTS))
+    clock.advance(USAGE_EXPIRY_S + 0.1)
+    assert grants.grant("node-1", 1, make_usage(1))
+    grants.update("node-1", 2, make_usage(0))
+    assert grants.servers["s1@1"].running(clock()) == 0
+
+
 def test_server_says_when_more_fits_its_limit(grants):
     """Nodes do not ask for it again before."""
     usage = make_usage(1, max_refusals=None, limit=2.0)
@@ -256,7 +280,10 @@
     fleet = GrantFleet(clock, 3)
     node = next(n for n in fleet.nodes if n.own_name == fleet.owners()[0])
     node.acquire(fleet.server)
-    node.release(fleet.server)
+    while node.acquire(fleet.server):
+        pass
+    for _ in range(SLOTS):
+        node.release(fleet.server)
     clock.advance(USAGE_EXPIRY_S + 0.1)
     node.report()
     node.keep_only([])
