--- a/test/test_server_grants.py
+++ b/test/test_server_grants.py
@@ -280,11 +280,19 @@
     fleet = GrantFleet(clock, 3)
     node = next(n for n in fleet.nodes if n.own_name == fleet.owners()[0])
     node.acquire(fleet.server)
-    while node.acquire(fleet.server):
-        pass
-    for _ in range(SLOTS):
-        node.release(fleet.server)
+    node.release(fleet.server)
     clock.advance(USAGE_EXPIRY_S + 0.1)
     node.report()
     node.keep_only([])
     assert (node.running, node.used, node.grants.servers) == ({}, {}, {})
+
+
+def test_server_that_was_only_asked_for_leaves_nothing(clock):
+    """A request that is denied has never run there."""
+    fleet = GrantFleet(clock, 3)
+    user, other = fleet.nodes[0], fleet.nodes[1]
+    while user.acquire(fleet.server):
+        pass
+    assert not other.acquire(fleet.server)
+    other.report()
+    assert (other.running, other.used, other.told) == ({}, {}, {})
