--- a/benchmarks/server_limits.py
+++ b/benchmarks/server_limits.py
@@ -23,7 +23,7 @@
 import gevent
 
 from amaranthlug.coordination.routing.grant_owners import (
-    REPORT_PERIOD_S,
+    USAGE_REPORT_PERIOD_S,
     GrantAnswer,
     GrantOwners,
     GrantRequest,
@@ -251,7 +251,7 @@
             self.tell(node.statements)
             node.report()
         gevent.sleep(0)
-        self.at(self.clock() + REPORT_PERIOD_S, self.report)
+        self.at(self.clock() + USAGE_REPORT_PERIOD_S, self.report)
 
     def play(self, per_second: float, seconds: float, uneven: bool) -> None:
         """Sends requests at random times for a while."""
@@ -328,33 +328,18 @@
         print("" if limited else "| falls | served of fit ", end="")
         print("| messages a second |")
         for nodes, servers in SHAPES:
-            for uneven, load in ((False, x) for x in LOADS):
-                for way in WAYS:
-                    print(
-                        row(
-                            nodes,
-                            servers,
-                            way,
-                            load,
-                            limited,
-                            seconds=seconds,
-                            uneven=uneven,
-                        ),
-                        flush=True,
-                    )
-            for way in WAYS:
-                print(
-                    row(
-                        nodes,
-                        servers,
-                        way,
-                        1.0,
-                        limited,
-                        seconds=seconds,
-                        uneven=True,
-                    ),
-                    flush=True,
+            cases = [(load, False) for load in LOADS] + [(1.0, True)]
+            for (load, uneven), way in itertools.product(cases, WAYS):
+                text = row(
+                    nodes,
+                    servers,
+                    way,
+                    load,
+                    limited,
+                    seconds=seconds,
+                    uneven=uneven,
                 )
+                print(text, flush=True)
 
 
 if __name__ == "__main__":
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
@@ -33,7 +33,7 @@
 quota stops for up to 0.1 s."""
 AVOID_S = 1.0
 """Time before a node that did not answer is asked again, in seconds."""
-REPORT_PERIOD_S = 0.5
+USAGE_REPORT_PERIOD_S = 0.5
 """Period of the reports of what this node uses, in seconds."""
 
 log = logging.getLogger(__name__)
@@ -155,11 +155,7 @@
         """Counts the end of a request at a server and tells its owner."""
         self.count_end(server.instance_key)
         if self.is_limited(server):
-            owner = next(iter(self.owners(server)), None)
-            if owner is None or owner.node == self.own_name:
-                self.report_to_self(server)
-            else:
-                gevent.spawn(self.report_to, owner, [server])
+            self.tell_owners([server])
 
     def count_end(self, key: tuple[str, int]) -> None:
         """Counts one request less at an instance."""
@@ -255,18 +251,21 @@
     def report(self) -> None:
         """Repeats to each owner what this node uses of its servers."""
         self.ranked.clear()
+        self.tell_owners([s for s in self.used.values() if self.is_limited(s)])
+        for key in [key for key in self.used if key not in self.running]:
+            del self.used[key]
+            self.told.pop(key, None)
+
+    def tell_owners(self, used: list[ServerEntry]) -> None:
+        """Tells the owner of each of these servers what this node uses."""
         by_owner: dict[str, tuple[NodeEntry, list[ServerEntry]]] = {}
-        for key, server in list(self.used.items()):
-            if self.is_limited(server):
-                owner = next(iter(self.owners(server)), None)
-                if owner is None or owner.node == self.own_name:
-                    self.report_to_self(server)
-                else:
-                    servers = by_owner.setdefault(owner.node, (owner, []))[1]
-                    servers.append(server)
-            if key not in self.running:
-                del self.used[key]
-                self.told.pop(key, None)
+        for server in used:
+            owner = next(iter(self.owners(server)), None)
+            if owner is None or owner.node == self.own_name:
+                self.report_to_self(server)
+            else:
+                servers = by_owner.setdefault(owner.node, (owner, []))[1]
+                servers.append(server)
         for owner, servers in by_owner.values():
             gevent.spawn(self.report_to, owner, servers)
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -134,6 +134,8 @@
             in one second before it falls over; None if it is not brittle.
         limit: Requests a second that the server takes from all nodes together,
             None if it names no limit.
+        content_type: Media type of the body without parameters, in lower case;
+            empty if not stated.
     """
 
     status: int
@@ -149,14 +151,7 @@
     retry_after_s: float | None = None
     max_refusals: float | None = None
     limit: float | None = None
-
-    @property
-    def content_type(self) -> str:
-        """Returns the media type without parameters, empty if not stated."""
-        for name, value in self.forwarded_headers:
-            if name.lower() == "content-type":
-                return value.partition(";")[0].strip().lower()
-        return ""
+    content_type: str = ""
 
 
 class FailureKind(enum.Enum):
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -26,9 +26,7 @@
 )
 from amaranthlug.coordination.routing.fleet_view import FleetView
 from amaranthlug.coordination.routing.grant_owners import (
-    REPORT_PERIOD_S as GRANT_REPORT_PERIOD_S,
-)
-from amaranthlug.coordination.routing.grant_owners import (
+    USAGE_REPORT_PERIOD_S,
     GrantOwners,
     GrantPort,
 )
@@ -380,7 +378,7 @@
         self.update_retry_budget()
         self.timers.every("report", REPORT_PERIOD_S, self.sync_fleet)
         self.timers.every("links", LINK_PERIOD_S, self.paths.probe_lost)
-        self.timers.every("grants", GRANT_REPORT_PERIOD_S, self.grants.report)
+        self.timers.every("grants", USAGE_REPORT_PERIOD_S, self.grants.report)
         self.timers.every("rollouts", ROLLOUT_PERIOD_S, self.advance_rollouts)
         for name, callback in (
             ("tidy", self.prune_departed_servers),
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
@@ -72,6 +72,10 @@
     sequence: int
     heard_at: float
 
+    def is_recent(self, now: float) -> bool:
+        """Returns whether the node has repeated it in time."""
+        return now - self.heard_at <= USAGE_EXPIRY_S
+
 
 @dataclasses.dataclass
 class GrantedServer:
@@ -139,16 +143,14 @@
     def recent_usage(self, node: str, now: float) -> NodeUsage | None:
         """Returns the usage of a node, None if it has not repeated it."""
         usage = self.nodes.get(node)
-        if usage is None or now - usage.heard_at > USAGE_EXPIRY_S:
-            return None
-        return usage
+        return usage if usage is not None and usage.is_recent(now) else None
 
     def running(self, now: float) -> int:
         """Returns the requests of all nodes at the server."""
         return sum(
             usage.running
             for usage in self.nodes.values()
-            if now - usage.heard_at <= USAGE_EXPIRY_S
+            if usage.is_recent(now)
         )
 
     def is_settling(self, now: float) -> bool:
@@ -171,11 +173,7 @@
 
     def wait_s(self, now: float) -> float:
         """Returns when one more request may fit, in seconds from now."""
-        wait = 0.0
-        if self.max_refusals is not None and (
-            self.running(now) >= self.room(now)
-        ):
-            wait = FULL_S
+        wait = FULL_S if self.running(now) >= self.room(now) else 0.0
         if self.limit is not None:
             self.add_unused(now)
             wait = max(wait, (1.0 - self.unused) / self.rate(now))
@@ -257,7 +255,7 @@
             server.nodes = {
                 node: usage
                 for node, usage in server.nodes.items()
-                if now - usage.heard_at <= USAGE_EXPIRY_S
+                if usage.is_recent(now)
             }
             if name not in listed or not server.nodes:
                 del self.servers[name]
