Forget whom a node told of servers that are gone

The periodic report drops the owner of an unused server, but the message that it starts names it again, so that one entry stayed for each instance that had gone. Servers that are not listed are now dropped there as well. The test fails without the change (the table keeps its entry).

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
@@ -353,3 +353,5 @@
         keys = {entry.instance_key for entry in listed}
         for key in [key for key in self.refused if key not in keys]:
             del self.refused[key]
+        for key in [key for key in self.told if key not in keys]:
+            del self.told[key]
--- a/test/test_server_grants.py
+++ b/test/test_server_grants.py
@@ -296,3 +296,16 @@
     assert not other.acquire(fleet.server)
     other.report()
     assert (other.running, other.used, other.told) == ({}, {}, {})
+
+
+# Guards against a table that grows with each instance that has gone, as a report
+# on its way names the owner once more.
+def test_owners_of_servers_that_are_gone_are_forgotten(clock):
+    """Whoever was told last."""
+    fleet = GrantFleet(clock, 5)
+    node = fleet.other()
+    node.acquire(fleet.server)
+    node.keep_only([fleet.server])
+    assert node.told
+    node.keep_only([])
+    assert node.told == {}
