--- a/test/test_server_grants.py
+++ b/test/test_server_grants.py
@@ -298,8 +298,8 @@
     assert (other.running, other.used, other.told) == ({}, {}, {})
 
 
-# Guards against a table that grows with each instance that has gone, as a report
-# on its way names the owner once more.
+# Guards against a table that grows with each instance that has gone, as a
+# report on its way names the owner once more.
 def test_owners_of_servers_that_are_gone_are_forgotten(clock):
     """Whoever was told last."""
     fleet = GrantFleet(clock, 5)
