Report the load that servers state to their owners, and log it

What callers saw: nothing yet, no decision changes.

A node passes the load of an answer on with its next report, with its age. The owner compares it with what it had granted then (the highest count of the last 0.1 s, since ends may be known here before the load was read), logs a change of the requests of others as server_room and shows the most as grants.most_others.

The unused estimates have no effect: tests of grants and brittle servers pass.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
@@ -23,6 +23,7 @@
     ServerGrants,
     ServerUsage,
 )
+from amaranthlug.state.routing.server_room import StatedLoad
 from amaranthlug.state.routing.server_statements import ServerStatements
 from amaranthlug.state.routing.servers import ServerEntry
 
@@ -128,6 +129,7 @@
         self.refused: collections.Counter[tuple[str, int]] = (
             collections.Counter()
         )
+        self.loads: dict[tuple[str, int], tuple[StatedLoad, float]] = {}
         self.full_until: dict[str, float] = {}
         self.avoided_until: dict[str, float] = {}
         self.used: dict[tuple[str, int], ServerEntry] = {}
@@ -167,6 +169,20 @@
         """Records that a server turned a request away for want of room."""
         self.refused[server.instance_key] += 1
 
+    def record_load(
+        self, server: ServerEntry, requests: int, refused: bool
+    ) -> None:
+        """Records the load in an answer, for the next report to the owner.
+
+        Args:
+            server: The server.
+            requests: Requests that it runs or queues.
+            refused: The answer turned a request away.
+        """
+        if self.is_limited(server):
+            load = StatedLoad(requests, refused=refused)
+            self.loads[server.instance_key] = load, self.clock()
+
     def may_ask(self, server: ServerEntry) -> bool:
         """Returns whether a server may have room for one more request."""
         until = self.full_until.get(server.instance_name)
@@ -251,6 +267,7 @@
     def report(self) -> None:
         """Repeats to each owner what this node uses of its servers."""
         self.ranked.clear()
+        self.metrics.gauge("grants.most_others", self.grants.most_others())
         self.tell_owners([s for s in self.used.values() if self.is_limited(s)])
         for key in [key for key in self.used if key not in self.running]:
             del self.used[key]
@@ -320,8 +337,17 @@
             self.refused.pop(key, 0),
             former != owner,
             None if limit is None else max(limit, MIN_RATE),
+            self.take_load(key),
         )
 
+    def take_load(self, key: tuple[str, int]) -> StatedLoad | None:
+        """Returns the load of an instance that no owner has been told."""
+        stated = self.loads.pop(key, None)
+        if stated is None:
+            return None
+        load, heard_at = stated
+        return dataclasses.replace(load, age_s=self.clock() - heard_at)
+
     def next_sequence(self) -> int:
         """Returns the number of the next report, also after a restart."""
         self.sequence = max(self.sequence + 1, int(self.clock() * 1e6))
@@ -351,7 +377,6 @@
             for name in [n for n, at in until_by_name.items() if at <= now]:
                 del until_by_name[name]
         keys = {entry.instance_key for entry in listed}
-        for key in [key for key in self.refused if key not in keys]:
-            del self.refused[key]
-        for key in [key for key in self.told if key not in keys]:
-            del self.told[key]
+        for by_instance in (self.refused, self.told, self.loads):
+            for key in [key for key in by_instance if key not in keys]:
+                del by_instance[key]
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
@@ -2,10 +2,13 @@
 
 import collections
 import dataclasses
+import logging
 import math
 import sys
 from collections.abc import Callable
 
+from amaranthlug.state.routing.server_room import ServerRoom, StatedLoad
+
 USAGE_EXPIRY_S = 2.0
 """Time after which the usage of a node that did not repeat it is forgotten, in
 seconds; nodes repeat it several times as often."""
@@ -37,6 +40,10 @@
 its limit may end or rise meanwhile."""
 SETTLING_SHARE = 0.5
 """Share of slots and rate that a new owner grants before it has settled."""
+LOG_PERIOD_S = 1.0
+"""Least time between two log lines on the room at a server, in seconds."""
+
+log = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,6 +60,7 @@
         moved: The node has sent its last report to another owner.
         limit: Requests a second that the server takes from all nodes, None if
             it names no limit.
+        load: Load in an answer since the last report, None if there was none.
     """
 
     server: str
@@ -62,6 +70,7 @@
     refused: int = 0
     moved: bool = False
     limit: float | None = None
+    load: StatedLoad | None = None
 
 
 @dataclasses.dataclass
@@ -82,20 +91,25 @@
     """What all nodes use of a server.
 
     Attributes:
-        settled_at: Clock from which all nodes have reported to this owner, in
-            seconds; None if there was no other.
+        known_from: Clock from which all nodes have reported to this owner, in
+            seconds; earlier, requests of some look like those of others.
+        settled_at: The same if there was another owner, None if not.
         slots: Requests that it runs at once.
         max_refusals: As in `ServerUsage`.
         nodes: Node -> its usage.
         refusals: Clock readings of requests that it turned away.
+        learnt: What its load shows of its room.
         brittle_at: Clock when a node last said that it is brittle, in seconds.
         limit: As in `ServerUsage`.
         limited_at: Clock when a node last said that it names a limit, in
             seconds.
         unused: Grants within the limit that may be used at once.
         counted_at: Clock to which `unused` applies, in seconds.
+        logged: Slots kept free in the last log line.
+        logged_at: Clock of that line, in seconds.
     """
 
+    known_from: float
     settled_at: float | None = None
     slots: int = 1
     max_refusals: float | None = None
@@ -103,11 +117,14 @@
     refusals: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
+    learnt: ServerRoom = dataclasses.field(default_factory=ServerRoom)
     brittle_at: float = -math.inf
     limit: float | None = None
     limited_at: float = -math.inf
     unused: float = 0.0
     counted_at: float = 0.0
+    logged: int = 0
+    logged_at: float = -math.inf
 
     def update(
         self, node: str, sequence: int, usage: ServerUsage, now: float
@@ -115,12 +132,15 @@
         """Takes over a report of a node, unless a later one has arrived."""
         self.slots = usage.slots
         self.refusals.extend([now] * usage.refused)
+        if usage.load is not None and now >= self.known_from:
+            self.learnt.record_load(usage.load, now, usage.slots)
         if usage.moved and self.settled_at is None:
-            self.settled_at = now + SETTLE_S
+            self.settled_at = self.known_from = now + SETTLE_S
         self.update_statements(usage, now)
         known = self.recent_usage(node, now)
         if known is None or sequence > known.sequence:
             self.nodes[node] = NodeUsage(usage.running, sequence, now)
+            self.learnt.record_count(self.running(now), now)
 
     def update_statements(self, usage: ServerUsage, now: float) -> None:
         """Takes over what a node has heard from the server.
@@ -211,7 +231,35 @@
                 overtaken is ignored.
             usage: What it uses.
         """
-        self.find(usage.server).update(node, sequence, usage, self.clock())
+        now = self.clock()
+        server = self.find(usage.server)
+        server.update(node, sequence, usage, now)
+        self.log_room(usage.server, server, now)
+
+    def log_room(self, name: str, server: GrantedServer, now: float) -> None:
+        """Logs what has been learnt of the room at a server, if it changed."""
+        learnt = server.learnt
+        shown = learnt.reserve()
+        if shown == server.logged or now - server.logged_at < LOG_PERIOD_S:
+            return
+        server.logged, server.logged_at = shown, now
+        log.info(
+            "%d slots of server %s are kept free for requests of others",
+            shown,
+            name,
+            extra={
+                "event": "server_room",
+                "server": name,
+                "others": round(learnt.others, 1),
+                "granted": server.running(now),
+                "slots": server.slots,
+                "room": min(server.room(now), server.slots),
+            },
+        )
+
+    def most_others(self) -> float:
+        """Returns the most requests of others that one server has."""
+        return max((s.learnt.others for s in self.servers.values()), default=0)
 
     def grant(self, node: str, sequence: int, usage: ServerUsage) -> bool:
         """Returns whether one more request of a node fits; counts it then.
@@ -233,6 +281,7 @@
             granted = granted and server.unused >= 1.0
             server.unused -= granted
         server.nodes[node].running = running if granted else running - 1
+        server.learnt.record_count(server.running(now), now)
         return granted
 
     def full_servers(self) -> dict[str, float]:
@@ -246,7 +295,9 @@
 
     def find(self, name: str) -> GrantedServer:
         """Returns what is known of an instance, nothing if it is new."""
-        return self.servers.setdefault(name, GrantedServer())
+        if name not in self.servers:
+            self.servers[name] = GrantedServer(self.clock() + SETTLE_S)
+        return self.servers[name]
 
     def keep_only(self, listed: set[str]) -> None:
         """Forgets instances that are not listed and nodes that are silent."""
--- /dev/null
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_room.py
@@ -0,0 +1,122 @@
+"""Estimates how many requests may be granted at a server at once.
+
+What a server states of its load is compared with the requests that its owner
+has granted. The rest comes from others: nodes of earlier builds, other clients
+and health checks.
+"""
+
+import collections
+import dataclasses
+import math
+
+COUNT_WINDOW_S = 0.1
+"""Time before a load report for which the highest count of granted requests is
+taken, in seconds; ends of requests may be known here before the load that a
+node has read."""
+COUNT_HISTORY_S = 1.0
+"""Time for which counts of granted requests are kept, in seconds; the load that
+a node reports may be half a second old."""
+RISE_WEIGHT = 0.5
+"""Weight of a load report that shows more requests of others than expected; a
+single one may be wrong."""
+DECAY_S = 4.0
+"""Time constant with which fewer requests of others are expected, in seconds;
+they come at random, and those that find no slot make the server fall over."""
+MIN_OTHERS = 0.5
+"""Expected number of others from which slots are kept free for them."""
+RESERVE_DEVIATIONS = 1.5
+"""Slots that are kept free beyond the expected number of others, in standard
+deviations of a number of requests that come at random."""
+LOOK_S = 1.0
+"""Time without a load report after which one request is granted where no room
+is left for any, in seconds; only an answer shows that others have gone."""
+
+
+@dataclasses.dataclass(frozen=True)
+class StatedLoad:
+    """The load that a server stated in an answer.
+
+    Attributes:
+        requests: Requests at the server, running or waiting.
+        age_s: Time since the answer arrived, in seconds.
+        refused: The answer turned a request away, which is not one of them.
+    """
+
+    requests: int
+    age_s: float = 0.0
+    refused: bool = False
+
+
+class ServerRoom:
+    """What an owner has learnt of the room at a server.
+
+    Attributes:
+        others: Expected number of requests that nobody granted.
+        counts: Clock readings and the requests that were granted then.
+    """
+
+    def __init__(self) -> None:
+        """Creates an estimate that trusts the stated slots."""
+        self.others = 0.0
+        self.observed_at = -math.inf
+        self.counts: collections.deque[tuple[float, int]] = collections.deque()
+
+    def record_count(self, running: int, now: float) -> None:
+        """Records how many granted requests are at the server."""
+        if self.counts and self.counts[-1][1] == running:
+            return
+        self.counts.append((now, running))
+        # The newest of the older ones still held at the begin of the history.
+        while (
+            len(self.counts) > 1 and self.counts[1][0] < now - COUNT_HISTORY_S
+        ):
+            self.counts.popleft()
+
+    def counted(self, at: float) -> int:
+        """Returns the most requests that were granted shortly before a time."""
+        most = 0
+        for time, running in reversed(self.counts):
+            if time > at:
+                continue
+            most = max(most, running)
+            if time < at - COUNT_WINDOW_S:
+                break
+        return most
+
+    def record_load(self, load: StatedLoad, now: float, slots: int) -> None:
+        """Compares a stated load with the requests that were granted then.
+
+        Args:
+            load: What the server stated.
+            now: Clock reading in seconds.
+            slots: Requests that it runs at once, as it says.
+        """
+        counted = self.granted_then(load, now)
+        others = max(0, load.requests - counted)
+        if others and load.requests >= slots:
+            others += 1  # Others that were turned away are in no load.
+        others = min(others, slots)
+        if others > self.others:
+            self.others += RISE_WEIGHT * (others - self.others)
+        else:
+            age_s = now - self.observed_at
+            self.others = others + (self.others - others) * math.exp(
+                -age_s / DECAY_S
+            )
+        self.observed_at = now
+
+    def granted_then(self, load: StatedLoad, now: float) -> int:
+        """Returns the granted requests that a stated load may include."""
+        return max(0, self.counted(now - load.age_s) - load.refused)
+
+    def reserve(self) -> int:
+        """Returns the slots that are kept free for others."""
+        if self.others < MIN_OTHERS:
+            return 0
+        deviation = math.sqrt(self.others)
+        return round(self.others + RESERVE_DEVIATIONS * deviation)
+
+    def room(self, slots: int, now: float) -> int:
+        """Returns the number of requests that may be granted at once."""
+        room = slots - self.reserve()
+        return max(room, int(now - self.observed_at > LOOK_S))
--- a/test/_streams.py
+++ b/test/_streams.py
@@ -106,6 +106,9 @@
     def incr(self, name: str, amount: int = 1) -> None:
         """Drops a count."""
 
+    def gauge(self, name: str, value: float) -> None:
+        """Drops a value."""
+
     def timing(self, name: str, value_ms: float) -> None:
         """Drops a duration."""
 
