Keep slots of brittle servers free for requests that nobody granted

Cause: an owner granted up to the stated slots and knew nothing of requests that it did not grant. Class: a sum over all users of a server is taken to be the sum over those that report. Health checks and other clients of a server are the same.

A new instance is expected to get as many as the rest.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/server_limits.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/server_limits.py
@@ -10,6 +10,7 @@
 
 import collections
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -301,7 +302,7 @@
                 self.served += 1
                 self.at(
                     self.clock() + self.scenario.request_s,
-                    lambda s=server, e=entry: self.finish(node, s, e, False),
+                    functools.partial(self.finish, node, server, entry, False),
                 )
                 return
             self.finish(node, server, entry, True)
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
@@ -98,6 +98,7 @@
         max_refusals: As in `ServerUsage`.
         nodes: Node -> its usage.
         refusals: Clock readings of requests that it turned away.
+        unstated: Those of them that came without its load.
         learnt: What its load shows of its room.
         brittle_at: Clock when a node last said that it is brittle, in seconds.
         limit: As in `ServerUsage`.
@@ -117,6 +118,9 @@
     refusals: collections.deque[float] = dataclasses.field(
         default_factory=collections.deque
     )
+    unstated: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
     learnt: ServerRoom = dataclasses.field(default_factory=ServerRoom)
     brittle_at: float = -math.inf
     limit: float | None = None
@@ -131,9 +135,7 @@
     ) -> None:
         """Takes over a report of a node, unless a later one has arrived."""
         self.slots = usage.slots
-        self.refusals.extend([now] * usage.refused)
-        if usage.load is not None and now >= self.known_from:
-            self.learnt.record_load(usage.load, now, usage.slots)
+        self.update_refusals(usage, now)
         if usage.moved and self.settled_at is None:
             self.settled_at = self.known_from = now + SETTLE_S
         self.update_statements(usage, now)
@@ -142,6 +144,15 @@
             self.nodes[node] = NodeUsage(usage.running, sequence, now)
             self.learnt.record_count(self.running(now), now)
 
+    def update_refusals(self, usage: ServerUsage, now: float) -> None:
+        """Takes over the refusals in a report and the load that it states."""
+        refused, load = usage.refused, usage.load
+        if load is None:
+            self.unstated.extend([now] * refused)
+        elif now >= self.known_from:
+            self.learnt.record_load(load, now, usage.slots)
+        self.refusals.extend([now] * refused)
+
     def update_statements(self, usage: ServerUsage, now: float) -> None:
         """Takes over what a node has heard from the server.
 
@@ -203,15 +214,23 @@
         """Returns the number of requests that may be at a brittle server."""
         if self.max_refusals is None:
             return sys.maxsize
-        while self.refusals and now - self.refusals[0] > ROOM_LOSS_S:
-            self.refusals.popleft()
-        recent = sum(1 for at in self.refusals if now - at <= REFUSAL_WINDOW_S)
-        if recent and recent >= REFUSAL_SHARE * self.max_refusals:
+        drop_before(self.refusals, now - REFUSAL_WINDOW_S)
+        drop_before(self.unstated, now - ROOM_LOSS_S)
+        refused = len(self.refusals)
+        if refused and refused >= REFUSAL_SHARE * self.max_refusals:
             return 0
-        slots = self.slots
-        if self.is_settling(now):
-            slots = int(slots * SETTLING_SHARE)
-        return max(1, slots - len(self.refusals))
+        room = self.learnt.room(self.slots, now)
+        if room and self.is_settling(now):
+            room = max(1, int(room * SETTLING_SHARE))
+        if room and self.unstated:
+            room = max(1, room - len(self.unstated))
+        return room
+
+
+def drop_before(times: collections.deque[float], limit: float) -> None:
+    """Drops clock readings before a limit from a sorted queue."""
+    while times and times[0] < limit:
+        times.popleft()
 
 
 class ServerGrants:
@@ -294,9 +313,16 @@
         return {name: wait for name, wait in waits.items() if wait > 0}
 
     def find(self, name: str) -> GrantedServer:
-        """Returns what is known of an instance, nothing if it is new."""
+        """Returns what is known of an instance.
+
+        A new one is expected to get as many requests of others as the rest;
+        after a fall the first refusals would make it fall again.
+        """
         if name not in self.servers:
+            known = [s.learnt.others for s in self.servers.values()]
             self.servers[name] = GrantedServer(self.clock() + SETTLE_S)
+            if known:
+                self.servers[name].learnt.others = sum(known) / len(known)
         return self.servers[name]
 
     def keep_only(self, listed: set[str]) -> None:
