Find what servers run at once where they state other slots

Cause: the owner trusted the stated slots; its grants beyond the true ones were refused, two refusals stopped all grants for a second, and then it began anew.

The owner now takes the load of a refusal for what fits, and grants one request more after a second, then after twice that time with each further refusal. A refusal of a server that has only granted requests does not stop its grants.

--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
@@ -106,7 +106,7 @@
             seconds.
         unused: Grants within the limit that may be used at once.
         counted_at: Clock to which `unused` applies, in seconds.
-        logged: Slots kept free in the last log line.
+        logged: Slots kept free and requests that fit in the last log line.
         logged_at: Clock of that line, in seconds.
     """
 
@@ -127,7 +127,7 @@
     limited_at: float = -math.inf
     unused: float = 0.0
     counted_at: float = 0.0
-    logged: int = 0
+    logged: tuple[int, int | None] = (0, None)
     logged_at: float = -math.inf
 
     def update(
@@ -149,8 +149,13 @@
         refused, load = usage.refused, usage.load
         if load is None:
             self.unstated.extend([now] * refused)
-        elif now >= self.known_from:
-            self.learnt.record_load(load, now, usage.slots)
+        else:
+            if load.refused:
+                self.learnt.record_full(load.requests, usage.slots, now)
+                # Only granted requests were there, so no other one is refused.
+                refused -= load.requests <= self.learnt.granted_then(load, now)
+            if now >= self.known_from:
+                self.learnt.record_load(load, now, usage.slots)
         self.refusals.extend([now] * refused)
 
     def update_statements(self, usage: ServerUsage, now: float) -> None:
@@ -258,19 +263,20 @@
     def log_room(self, name: str, server: GrantedServer, now: float) -> None:
         """Logs what has been learnt of the room at a server, if it changed."""
         learnt = server.learnt
-        shown = learnt.reserve()
+        shown = learnt.reserve(), learnt.capacity
         if shown == server.logged or now - server.logged_at < LOG_PERIOD_S:
             return
         server.logged, server.logged_at = shown, now
         log.info(
             "%d slots of server %s are kept free for requests of others",
-            shown,
+            shown[0],
             name,
             extra={
                 "event": "server_room",
                 "server": name,
                 "others": round(learnt.others, 1),
                 "granted": server.running(now),
+                "capacity": shown[1],
                 "slots": server.slots,
                 "room": min(server.room(now), server.slots),
             },
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_room.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_room.py
@@ -30,6 +30,11 @@
 LOOK_S = 1.0
 """Time without a load report after which one request is granted where no room
 is left for any, in seconds; only an answer shows that others have gone."""
+PROBE_S = 1.0
+"""Time after which one request more is granted than a server had when it last
+turned one away, in seconds."""
+MAX_PROBE_S = 16.0
+"""Longest such time, in seconds; it doubles with each further refusal."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,6 +57,8 @@
 
     Attributes:
         others: Expected number of requests that nobody granted.
+        capacity: Requests that the server had when it turned one away, None if
+            it has not turned any away below its slots.
         counts: Clock readings and the requests that were granted then.
     """
 
@@ -59,6 +66,9 @@
         """Creates an estimate that trusts the stated slots."""
         self.others = 0.0
         self.observed_at = -math.inf
+        self.capacity: int | None = None
+        self.probe_s = PROBE_S
+        self.probe_at = math.inf
         self.counts: collections.deque[tuple[float, int]] = collections.deque()
 
     def record_count(self, running: int, now: float) -> None:
@@ -92,8 +102,11 @@
             slots: Requests that it runs at once, as it says.
         """
         counted = self.granted_then(load, now)
+        if self.capacity is not None and load.requests > self.capacity:
+            self.capacity, self.probe_s = load.requests, PROBE_S
+            self.probe_at = now + PROBE_S
         others = max(0, load.requests - counted)
-        if others and load.requests >= slots:
+        if others and load.requests >= self.limit(slots):
             others += 1  # Others that were turned away are in no load.
         others = min(others, slots)
         if others > self.others:
@@ -109,6 +122,19 @@
         """Returns the granted requests that a stated load may include."""
         return max(0, self.counted(now - load.age_s) - load.refused)
 
+    def record_full(self, requests: int, slots: int, now: float) -> None:
+        """Records that a server with so many requests turned one away."""
+        if requests >= slots:
+            return
+        if self.capacity is not None and requests >= self.capacity:
+            self.probe_s = min(2 * self.probe_s, MAX_PROBE_S)
+        self.capacity = max(1, requests)
+        self.probe_at = now + self.probe_s
+
+    def limit(self, slots: int) -> int:
+        """Returns the requests that fit at the server."""
+        return slots if self.capacity is None else min(slots, self.capacity)
+
     def reserve(self) -> int:
         """Returns the slots that are kept free for others."""
         if self.others < MIN_OTHERS:
@@ -118,5 +144,8 @@
 
     def room(self, slots: int, now: float) -> int:
         """Returns the number of requests that may be granted at once."""
-        room = slots - self.reserve()
+        limit = self.limit(slots)
+        if limit < slots and now >= self.probe_at:
+            limit += 1
+        room = limit - self.reserve()
         return max(room, int(now - self.observed_at > LOOK_S))
