--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -141,7 +141,7 @@
             return True
         try:
             report = msgspec.json.decode(record.value, type=FleetReport)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             log.warning(
                 "ignoring malformed fleet report: %s",
                 error,
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -32,6 +32,7 @@
 )
 from amaranthlug.coordination.routing.store_era import StoreEra
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
+from amaranthlug.coordination.supervised import spawn_supervised
 from amaranthlug.state.routing.fleet import NodeEntry
 
 MAX_HOLD_S = 0.8
@@ -116,7 +117,7 @@
     def start(self) -> None:
         """Starts the greenlet that searches for a relay and polls it."""
         if not self.stopped:
-            self.greenlet = gevent.spawn(self.run)
+            self.greenlet = spawn_supervised("relay client", self.run)
 
     def stop(self) -> None:
         """Stops the greenlet, also one that is yet to be started."""
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/topic_follower.py
@@ -16,6 +16,7 @@
     KeyedStore,
     StoreError,
 )
+from amaranthlug.coordination.supervised import record_error, spawn_supervised
 
 READ_OVERDUE_MARGIN_S = 0.2
 """Time beyond the requested wait after which a read is overdue, in seconds;
@@ -121,7 +122,7 @@
 
     def start(self) -> None:
         """Starts the greenlet that reads the topic."""
-        self.greenlet = gevent.spawn(self.run)
+        self.greenlet = spawn_supervised(f"follow {self.topic}", self.run)
 
     def stop(self) -> None:
         """Stops the greenlet."""
@@ -192,12 +193,34 @@
     def replace(self, records: list[KeyedRecord], position: int) -> None:
         """Replaces the data by a full read of the topic."""
         if self.restored_from is None:
-            self.listener.replace(records)
+            self.replace_all(records)
         else:
             records = self.restore(records, position)
         self.latest_records = {record.key: record for record in records}
         self.position = self.min_delta_offset = position
 
+    def replace_all(self, records: list[KeyedRecord]) -> None:
+        """Passes a full read on; after an error each of its records alone."""
+        try:
+            self.listener.replace(records)
+        except Exception as error:
+            record_error(f"follow {self.topic}", error)
+            for record in records:
+                self.apply(record)
+
+    def apply(self, record: KeyedRecord) -> bool:
+        """Passes a record on; False if it changed nothing or failed."""
+        try:
+            return self.listener.apply(record)
+        except Exception as error:
+            record_error(
+                f"follow {self.topic}",
+                error,
+                key=record.key,
+                offset=record.offset,
+            )
+            return False
+
     def begin_restore(self) -> None:
         """Makes the next read a full one, of the copy to which it returned.
 
@@ -239,7 +262,7 @@
     def apply_changes(self, records: list[KeyedRecord], position: int) -> None:
         """Applies new records and moves to `position`."""
         for record in records:
-            if self.listener.apply(record) or record.key in self.kept_keys:
+            if self.apply(record) or record.key in self.kept_keys:
                 self.latest_records[record.key] = record
                 self.kept_keys.discard(record.key)
         self.position = position
--- a/packages/amaranthlug/src/amaranthlug/coordination/timers.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/timers.py
@@ -1,19 +1,18 @@
 """Timer service for periodic calls."""
 
 import dataclasses
-import logging
 import random
 import time
 from collections.abc import Callable
 
 import gevent
 
+from amaranthlug.coordination.supervised import record_error
+
 JITTER_SHARE = 0.2
 """Fraction of a period by which a wait varies, so that nodes do not act
 simultaneously."""
 
-log = logging.getLogger(__name__)
-
 
 @dataclasses.dataclass
 class Subscription:
@@ -69,10 +68,8 @@
                     return
                 try:
                     callback()
-                except Exception:
-                    log.exception(
-                        "periodic task %s failed; it will run again", name
-                    )
+                except Exception as error:
+                    record_error(f"timer {name}", error)
 
         subscription.greenlet = gevent.spawn(run)
         self.subscriptions.append(subscription)
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -12,6 +12,7 @@
 import gevent
 from gevent.event import Event
 
+from amaranthlug.coordination import supervised
 from amaranthlug.coordination.boot_clock import boot_seconds
 from amaranthlug.coordination.routing.circuit_breaker import StoreCircuitBreaker
 from amaranthlug.coordination.routing.config_source import (
@@ -386,7 +387,7 @@
             ("losses", self.report_losses),
         ):
             self.timers.every(name, PRUNE_PERIOD_S, callback)
-        gevent.spawn(self.join_fleet)
+        supervised.spawn_supervised("join fleet", self.join_fleet)
         log.info(
             "node %s started",
             self.settings.name,
@@ -471,6 +472,7 @@
         self.links.keep_only(instance_keys)
         self.statements.keep_only(instance_keys)
         self.grants.keep_only(listed)
+        self.metrics.gauge("task_errors", supervised.errors.total())
         self.metrics.gauge("servers_brittle", len(self.statements.brittle))
         self.metrics.gauge("servers_limited", len(self.statements.limits))
         self.metrics.gauge("links_lost", len(self.links.lost))
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -68,6 +68,9 @@
 """Most nodes to which idle connections are kept; those of the least recently
 used one are closed first, also if that node is gone."""
 
+UNREADABLE = (msgspec.MsgspecError, RecursionError, ValueError)
+"""Errors of decoding a message; deep nesting has one of its own."""
+
 Message = TypeVar("Message")
 
 
@@ -104,7 +107,7 @@
         request_type, answer_to = self.handlers[incoming.target]
         try:
             request: Any = msgspec.json.decode(incoming.body, type=request_type)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             responder.send_response(400, [], str(error).encode())
             return
         answer = answer_to(request)
@@ -228,7 +231,7 @@
                 )
             if head.status != 200:
                 raise PeerPathError(f"node {node.node} answered {head.status}")
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             connection.close()
             raise OSError(f"malformed response of a node: {error}") from error
         except BaseException:
@@ -325,5 +328,5 @@
             raise OSError(f"the node answered {head.status}")
         try:
             return msgspec.json.decode(body, type=answer_type)
-        except msgspec.MsgspecError as error:
+        except UNREADABLE as error:
             raise OSError(f"malformed response of a node: {error}") from error
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
@@ -56,7 +56,8 @@
             that of the route.
 
     Raises:
-        OSError: The connection was refused or not established in time.
+        OSError: The address is none, or the connection was refused or not
+            established in time.
     """
     sock = gsocket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -70,6 +71,9 @@
             if not is_connected(sock):
                 raise
         set_tcp_options(sock)
+    except (ValueError, OverflowError) as error:
+        sock.close()
+        raise OSError(f"{address!r} is no address: {error}") from error
     except BaseException:
         sock.close()
         raise
