Ask before each attempt whether it ends before a node that stops

Cause: acceptance was decided when a request began, not when it was passed on.

After the time in which any request is accepted, a first attempt must end by its own limit before the exit, a later one as its route usually does; else the caller gets 503 with a time to come back, if nothing has run.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -33,6 +33,7 @@
 from amaranthlug.protocol.routing.version_speed import VersionSpeeds
 from amaranthlug.state.refusal import RefusalCode
 from amaranthlug.state.routing.config import Route
+from amaranthlug.state.routing.grace_period import GracePeriod
 from amaranthlug.state.routing.server_statements import ServerStatements
 from amaranthlug.state.routing.servers import ServerEntry
 
@@ -89,6 +90,7 @@
         buffers: Limits the memory of answers that are buffered.
         statements: Knows the servers that want no new requests.
         grants: Limits what all nodes together send to servers in need.
+        grace: Says what may still be sent after a stop signal.
         metrics: Counters and durations.
         clock: Returns seconds, including time in which the VM was paused.
         record_outcome: Receives service, version, route and whether the answer
@@ -109,6 +111,7 @@
     buffers: AnswerBuffers
     statements: ServerStatements
     grants: GrantOwners
+    grace: GracePeriod
     metrics: Metrics
     clock: Callable[[], float]
     record_outcome: Callable[[str, str, str, bool], None]
@@ -297,6 +300,9 @@
         """Clears a request that a server has completed successfully."""
         if not isinstance(result, LocalReply) and result[1] < 300:
             self.tools.crashes.record_completed(self.subjects)
+            self.tools.grace.record_duration(
+                self.route.name, self.tools.clock() - self.began_at
+            )
 
     def choose(self, candidates: list[ServerEntry]) -> ServerEntry | None:
         """Returns a server for the next attempt, None if there is none."""
@@ -344,8 +350,21 @@
         return (
             self.attempts_sent < self.route.max_attempts
             and self.remaining_s() >= MIN_SEND_TIME_S
+            and self.fits_stop()
         )
 
+    def fits_stop(self) -> bool:
+        """Returns whether an attempt ends before this node does.
+
+        A first one is refused unless it surely does; callers of later ones
+        would else get a failure, so that it is enough if they usually do.
+        """
+        longest_s = self.remaining_s()
+        if self.attempts_sent:
+            usual_s = self.tools.grace.longest_s(self.route.name)
+            longest_s = min(longest_s, usual_s)
+        return self.tools.grace.fits(longest_s)
+
     def reserve_retry(self) -> bool:
         """Takes a retry from the budget, which is kept until it is sent."""
         if not self.retry_reserved:
@@ -584,7 +603,9 @@
             return self.blocked_reply(blocked)
         if not self.may_have_run:
             wait = self.tools.random.uniform(*RETRY_AFTER_S)
-            if self.context.trace.denied and not self.attempts_sent:
+            if not self.fits_stop():
+                reason = "stopping"
+            elif self.context.trace.denied and not self.attempts_sent:
                 reason = "no_room"
             return LocalReply(503, reason, "no server took the request", wait)
         if self.remaining_s() <= 0:
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -79,6 +79,7 @@
     RunningByService,
     sum_running,
 )
+from amaranthlug.state.routing.grace_period import GracePeriod
 from amaranthlug.state.routing.server_statements import ServerStatements
 from amaranthlug.state.routing.servers import ServerEntry
 from amaranthlug.state.routing.settings import (
@@ -121,10 +122,6 @@
 MAX_ENTRY_TTL_S = 1.5
 """Maximum time for which callers may cache node addresses, in seconds; the
 deployment may set less. Short, so that callers soon avoid a lost node."""
-ACCEPT_AFTER_STOP_S = 2.6
-"""Time after a stop signal in which new requests are still accepted, in
-seconds. Callers cache this node's address for its time to live, and a request
-accepted this early has the rest of the grace period to finish."""
 KILL_MARGIN_S = 0.4
 """Time before the end of the grace period, when the process is killed, at which
 it exits by itself, in seconds."""
@@ -209,6 +206,7 @@
         self.random = random.Random(settings.seed)
         self.incarnation = uuid.uuid4().hex[:12]
         self.leaving = False
+        self.grace = GracePeriod(boot_seconds)
         self.announced = False
         self.caught_up = False
         self.created_at = boot_seconds()
@@ -354,6 +352,7 @@
             buffers=AnswerBuffers(),
             statements=self.statements,
             grants=self.grants,
+            grace=self.grace,
             metrics=self.metrics,
             clock=boot_seconds,
             record_outcome=self.rollouts.count_answer,
@@ -472,6 +471,14 @@
         self.links.keep_only(instance_keys)
         self.statements.keep_only(instance_keys)
         self.grants.keep_only(listed)
+        if self.config.config is not None:
+            self.grace.keep_only(
+                {
+                    r.name
+                    for rs in self.config.config.routes.values()
+                    for r in rs
+                }
+            )
         self.metrics.gauge("task_errors", supervised.errors.total())
         self.metrics.gauge("servers_brittle", len(self.statements.brittle))
         self.metrics.gauge("servers_limited", len(self.statements.limits))
@@ -646,17 +653,16 @@
                 answered, those of other nodes that use its paths included.
             stop_accepting: Closes the listener and idle connections.
         """
-        started_at = boot_seconds()
         self.leaving = True
+        self.grace.begin(self.settings.bounds.stop_grace_s - KILL_MARGIN_S)
         log.info(
             "node %s is stopping", self.settings.name, extra={"event": "stop"}
         )
         gevent.spawn(self.relay_client.report_now)
-        grace = self.settings.bounds.stop_grace_s - KILL_MARGIN_S
         accepting = True
-        while boot_seconds() - started_at < grace:
+        while not self.grace.is_over():
             gevent.sleep(CHECK_PERIOD_S)
-            if accepting and boot_seconds() - started_at > ACCEPT_AFTER_STOP_S:
+            if accepting and not self.grace.is_accepting():
                 accepting = False
                 stop_accepting()
             if not accepting and not requests_running():
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_paths.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_paths.py
@@ -112,7 +112,7 @@
             return
         try:
             request = msgspec.json.decode(incoming.body, type=PathRequest)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             responder.send_response(400, [], str(error).encode())
             return
         server = self.servers.find_instance(request.instance)
--- a/test/_streams.py
+++ b/test/_streams.py
@@ -19,6 +19,7 @@
 from amaranthlug.protocol.routing.stream_exchange import StreamExchange
 from amaranthlug.protocol.routing.version_speed import VersionSpeeds
 from amaranthlug.state.routing.config import RouteKind
+from amaranthlug.state.routing.grace_period import GracePeriod
 from amaranthlug.state.routing.server_statements import ServerStatements
 
 
@@ -158,6 +159,7 @@
             buffers=AnswerBuffers(),
             statements=statements,
             grants=make_grants(statements, clock),
+            grace=GracePeriod(clock),
             speeds=VersionSpeeds(clock, tracker.target_of, tracker.count),
             metrics=NoMetrics(),
             clock=clock,
