Tell all nodes that the servers of a service are brittle

What callers saw: a burst that starts in calm gets 34, 15 and 49 of the 90 requests that fit in its first three seconds.

Cause: only nodes that have used a brittle service lately know of it. In calm that is one node; the others send as before, servers turn away what they send, and two refusals stop the grants at a server for a second. Class: what one node has heard of a server is not told to those whom it concerns as well.

Reports carry the youngest statement for each service with its age. A node reports only what it has heard itself, so that nodes cannot keep a statement alive; an own answer that is newer goes before it. An expired own answer no longer hides a newer statement of the service.

Before: test_all_nodes_know_what_one_has_heard fails without the callback.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -16,16 +16,19 @@
 )
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.state.routing.fleet import (
+    BrittleServices,
     EvidenceByRollout,
     FleetReport,
     NodeEntry,
     NodeReport,
     RolloutAges,
     RunningByService,
+    aged,
     highest_ages,
     merge_reports,
     sum_evidence,
     sum_running,
+    youngest,
 )
 from amaranthlug.state.suspects import SuspectFact, merge_facts
 
@@ -66,6 +69,7 @@
         running: Requests in flight at all nodes but the receiving one.
         rollout_ages: Ages of active roll-outs when the relay answered.
         suspects: Requests under which servers ended, from all nodes.
+        brittle: Services whose servers are brittle, from all nodes.
     """
 
     nodes: list[NodeEntry]
@@ -73,6 +77,7 @@
     running: RunningByService
     rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
     suspects: list[SuspectFact] = dataclasses.field(default_factory=list)
+    brittle: BrittleServices = dataclasses.field(default_factory=dict)
 
 
 class FleetView:
@@ -94,7 +99,8 @@
         """Creates a view.
 
         `FleetSuspects` sets `receive_suspects`, which is called with the
-        suspects of each report; without it they are ignored.
+        suspects of each report; without it they are ignored. So are the brittle
+        services of each report without `receive_brittle`.
 
         Args:
             store: Holds the fleet reports.
@@ -120,6 +126,9 @@
         self.receive_suspects: Callable[[list[SuspectFact]], object] | None = (
             None
         )
+        self.receive_brittle: Callable[[BrittleServices], object] = (
+            lambda brittle: None
+        )
 
     def replace(self, records: list[KeyedRecord]) -> None:
         """Replaces all known reports."""
@@ -149,7 +158,7 @@
             )
             return False
         self.reports[record.key] = ReceivedReport(report, self.clock())
-        self.pass_suspects(report.suspects)
+        self.pass_on(report)
         return True
 
     def sync(self) -> None:
@@ -211,7 +220,10 @@
         return merge_reports(mine.entry.node, [mine, *self.live_members()])
 
     def live_members(self) -> list[NodeReport]:
-        """Drops members that are gone and returns the reports of the others."""
+        """Drops members that are gone and returns the reports of the others.
+
+        Their statements of servers are as of now.
+        """
         now = self.clock()
         gone = [
             name
@@ -220,23 +232,31 @@
         ]
         for name in gone:
             del self.members[name]
-        return [report for report, _ in self.members.values()]
+        return [
+            dataclasses.replace(
+                report, brittle=aged(report.brittle, now - received_at)
+            )
+            if report.brittle
+            else report
+            for report, received_at in self.members.values()
+        ]
 
     def update_member(self, report: NodeReport) -> None:
         """Stores the report of a member."""
         self.members[report.entry.node] = (report, self.clock())
-        self.pass_suspects(report.suspects)
+        self.pass_on(report)
 
     def set_summary(self, summary: FleetSummary) -> None:
         """Stores the summary sent by this node's relay."""
         self.summary = summary
         self.summary_received_at = self.clock()
-        self.pass_suspects(summary.suspects)
+        self.pass_on(summary)
 
-    def pass_suspects(self, suspects: list[SuspectFact]) -> None:
-        """Passes on the suspects of a report that arrived."""
+    def pass_on(self, report: NodeReport | FleetReport | FleetSummary) -> None:
+        """Passes on suspects and statements of servers that arrived."""
         if self.receive_suspects is not None:
-            self.receive_suspects(suspects)
+            self.receive_suspects(report.suspects)
+        self.receive_brittle(report.brittle)
 
     def clear_summary(self) -> None:
         """Drops the relay's summary, so that reports from the store count."""
@@ -247,7 +267,9 @@
         mine = self.describe_node()
         parts = [mine, *self.live_members()]
         others = merge_reports("", [p for p in parts if p.entry.node != node])
-        received = self.live_reports(mine.entry.node)
+        all_received = self.live_received(mine.entry.node)
+        received = [each.report for each in all_received]
+        now = self.clock()
         return FleetSummary(
             self.nodes(),
             sum_evidence([others.evidence, *(r.evidence for r in received)]),
@@ -256,6 +278,15 @@
             merge_facts(
                 [others.suspects, *(report.suspects for report in received)]
             ),
+            youngest(
+                [
+                    others.brittle,
+                    *(
+                        aged(each.report.brittle, now - each.received_at)
+                        for each in all_received
+                    ),
+                ]
+            ),
         )
 
     def removable_report_keys(self, own_name: str) -> list[str]:
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -375,6 +375,7 @@
 
     def start(self) -> None:
         """Starts to read the store and the periodic tasks."""
+        self.fleet.receive_brittle = self.statements.receive_brittleness
         self.update_retry_budget()
         self.timers.every("report", REPORT_PERIOD_S, self.sync_fleet)
         self.timers.every("links", LINK_PERIOD_S, self.paths.probe_lost)
@@ -603,6 +604,7 @@
             self.running_by_version(),
             self.rollouts.own_ages(),
             self.suspects.reported_facts(),
+            self.statements.reported_brittleness(),
         )
 
     def running_by_version(self) -> RunningByService:
--- a/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
@@ -13,6 +13,23 @@
 """Id of a roll-out -> seconds since its order reached the first node."""
 
 
+@dataclasses.dataclass(frozen=True)
+class ReportedBrittleness:
+    """A statement that the servers of a service are brittle.
+
+    Attributes:
+        max_refusals: Requests that one of them may turn away in a second.
+        age_s: Time since the reporting node last heard it, in seconds.
+    """
+
+    max_refusals: float
+    age_s: float
+
+
+BrittleServices = dict[str, ReportedBrittleness]
+"""Service -> the youngest statement that its servers are brittle."""
+
+
 @dataclasses.dataclass(frozen=True)
 class NodeEntry:
     """The registration of a node.
@@ -56,6 +73,7 @@
     running: RunningByService
     rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
     suspects: list[SuspectFact] = dataclasses.field(default_factory=list)
+    brittle: BrittleServices = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +87,7 @@
         running: Sum of the requests in flight of these nodes.
         rollout_ages: Ages of active roll-outs that these nodes know.
         suspects: Requests under which servers ended.
+        brittle: Services whose servers told these nodes that they are brittle.
     """
 
     reporter: str
@@ -77,6 +96,7 @@
     running: RunningByService
     rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
     suspects: list[SuspectFact] = dataclasses.field(default_factory=list)
+    brittle: BrittleServices = dataclasses.field(default_factory=dict)
 
 
 def sum_evidence(parts: list[EvidenceByRollout]) -> EvidenceByRollout:
@@ -111,6 +131,27 @@
     return highest
 
 
+def youngest(parts: list[BrittleServices]) -> BrittleServices:
+    """Returns the youngest statement for each service."""
+    found: BrittleServices = {}
+    for part in parts:
+        for service, statement in part.items():
+            known = found.get(service)
+            if known is None or statement.age_s < known.age_s:
+                found[service] = statement
+    return found
+
+
+def aged(brittle: BrittleServices, elapsed_s: float) -> BrittleServices:
+    """Returns statements as of a later time."""
+    return {
+        service: dataclasses.replace(
+            statement, age_s=statement.age_s + elapsed_s
+        )
+        for service, statement in brittle.items()
+    }
+
+
 def merge_reports(reporter: str, reports: list[NodeReport]) -> FleetReport:
     """Combines the reports of several nodes into one fleet report."""
     return FleetReport(
@@ -120,4 +161,5 @@
         sum_running([report.running for report in reports]),
         highest_ages([report.rollout_ages for report in reports]),
         merge_facts(report.suspects for report in reports),
+        youngest([report.brittle for report in reports]),
     )
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_statements.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_statements.py
@@ -4,6 +4,10 @@
 import logging
 from collections.abc import Callable
 
+from amaranthlug.state.routing.fleet import (
+    BrittleServices,
+    ReportedBrittleness,
+)
 from amaranthlug.state.routing.servers import ServerEntry
 
 BRITTLE_HOLD_S = 10.0
@@ -54,6 +58,7 @@
             seconds.
         brittle: Instance -> its statement that it is brittle.
         brittle_services: Service -> latest such statement of a server of it.
+        told_services: The same as other nodes have heard it.
         sound_at: Instance -> clock when it last answered without such a
             statement, in seconds.
         limits: Instance -> its limit on the requests of all nodes.
@@ -66,6 +71,7 @@
         self.paused_until: dict[tuple[str, int], float] = {}
         self.brittle: dict[tuple[str, int], Brittleness] = {}
         self.brittle_services: dict[str, Brittleness] = {}
+        self.told_services: dict[str, Brittleness] = {}
         self.sound_at: dict[tuple[str, int], float] = {}
         self.limits: dict[tuple[str, int], NamedLimit] = {}
 
@@ -132,7 +138,7 @@
         was_brittle = self.max_refusals(server) is not None
         if max_refusals is None:
             self.brittle.pop(key, None)
-            if server.service in self.brittle_services:
+            if self.service_statement(server.service) is not None:
                 self.sound_at[key] = self.clock()
         else:
             statement = Brittleness(max_refusals, self.clock())
@@ -151,6 +157,56 @@
                 },
             )
 
+    def reported_brittleness(self) -> BrittleServices:
+        """Returns what servers have told this node itself, for its report.
+
+        What other nodes have heard they report themselves, so that it expires.
+        """
+        now = self.clock()
+        return {
+            service: ReportedBrittleness(
+                statement.max_refusals, now - statement.heard_at
+            )
+            for service, statement in self.brittle_services.items()
+            if now - statement.heard_at <= BRITTLE_HOLD_S
+        }
+
+    def receive_brittleness(self, brittle: BrittleServices) -> None:
+        """Takes over what other nodes have heard."""
+        now = self.clock()
+        for service, reported in brittle.items():
+            heard_at = now - max(0.0, reported.age_s)
+            known = self.told_services.get(service)
+            if known is not None and known.heard_at >= heard_at:
+                continue
+            is_new = known is None and service not in self.brittle_services
+            self.told_services[service] = Brittleness(
+                max(0.0, reported.max_refusals), heard_at
+            )
+            if is_new:
+                log.info(
+                    "servers of %s are brittle, as other nodes report",
+                    service,
+                    extra={
+                        "event": "service_brittle",
+                        "service": service,
+                        "max_refusals": reported.max_refusals,
+                        "age_s": round(reported.age_s, 1),
+                    },
+                )
+
+    def service_statement(self, service: str) -> Brittleness | None:
+        """Returns the latest statement of any server of a service."""
+        statements = [
+            statement
+            for statement in (
+                self.brittle_services.get(service),
+                self.told_services.get(service),
+            )
+            if statement is not None
+        ]
+        return max(statements, key=lambda s: s.heard_at, default=None)
+
     def record_limit(
         self, server: ServerEntry, per_second: float | None, sent_at: float
     ) -> None:
@@ -194,15 +250,16 @@
         Returns None if the server is not known to be brittle.
         """
         key = server.instance_key
+        now = self.clock()
         statement = self.brittle.get(key)
-        if statement is None:
-            statement = self.brittle_services.get(server.service)
+        if statement is None or now - statement.heard_at > BRITTLE_HOLD_S:
+            statement = self.service_statement(server.service)
             sound_at = self.sound_at.get(key)
             if statement is None or (
                 sound_at is not None and sound_at >= statement.heard_at
             ):
                 return None
-        if self.clock() - statement.heard_at > BRITTLE_HOLD_S:
+        if now - statement.heard_at > BRITTLE_HOLD_S:
             return None
         return statement.max_refusals
 
@@ -218,8 +275,7 @@
             for key in [key for key in by_instance if key not in listed]:
                 del by_instance[key]
         now = self.clock()
-        self.brittle_services = {
-            service: statement
-            for service, statement in self.brittle_services.items()
-            if now - statement.heard_at <= BRITTLE_HOLD_S
-        }
+        for by_service in (self.brittle_services, self.told_services):
+            for service, statement in list(by_service.items()):
+                if now - statement.heard_at > BRITTLE_HOLD_S:
+                    del by_service[service]
