Learn from a lasting queue what a server runs

Cause: while servers still queue they turn nothing away, so that nothing was learnt until the queue ended, and then several requests more than fit were there at once.

What a server runs while all its loads of half a second show waiting requests is now taken for what fits, below the stated slots; a request that had more room than known raises it after 0.25 s.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/server_limits.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/server_limits.py
@@ -363,7 +363,7 @@
             node.grants.record_refusal(entry)
         if server.entry is entry:
             load = server.running + (not refused)
-            node.grants.record_load(entry, load, refused)
+            node.grants.record_load(entry, load, 0, refused)
         node.grants.release(entry)
         gevent.sleep(0)  # Sends the report of the release.
 
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/grant_owners.py
@@ -170,17 +170,18 @@
         self.refused[server.instance_key] += 1
 
     def record_load(
-        self, server: ServerEntry, requests: int, refused: bool
+        self, server: ServerEntry, running: int, waiting: int, refused: bool
     ) -> None:
         """Records the load in an answer, for the next report to the owner.
 
         Args:
             server: The server.
-            requests: Requests that it runs or queues.
+            running: Requests that it runs.
+            waiting: Requests that it queues.
             refused: The answer turned a request away.
         """
         if self.is_limited(server):
-            load = StatedLoad(requests, refused=refused)
+            load = StatedLoad(running + waiting, waiting, refused=refused)
             self.loads[server.instance_key] = load, self.clock()
 
     def may_ask(self, server: ServerEntry) -> bool:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -521,8 +521,9 @@
             self.tools.metrics.incr("brittle_servers.refusals")
             self.tools.grants.record_refusal(server)
         if head.load is not None:
-            requests = head.load.running + head.load.waiting
-            self.tools.grants.record_load(server, requests, head.not_run)
+            self.tools.grants.record_load(
+                server, head.load.running, head.load.waiting, head.not_run
+            )
         if head.status == 503 and head.retry_after_s is not None:
             self.tools.statements.record_pause(server, head.retry_after_s)
 
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_grants.py
@@ -150,8 +150,10 @@
         if load is None:
             self.unstated.extend([now] * refused)
         else:
+            self.learnt.record_queue(load, usage.slots, now)
             if load.refused:
-                self.learnt.record_full(load.requests, usage.slots, now)
+                running = load.requests - load.waiting
+                self.learnt.record_full(running, usage.slots, now)
                 # Only granted requests were there, so no other one is refused.
                 refused -= load.requests <= self.learnt.granted_then(load, now)
             if now >= self.known_from:
--- a/packages/amaranthlug/src/amaranthlug/state/routing/server_room.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/server_room.py
@@ -34,7 +34,14 @@
 """Time after which one request more is granted than a server had when it last
 turned one away, in seconds."""
 MAX_PROBE_S = 16.0
-"""Longest such time, in seconds; it doubles with each further refusal."""
+"""Longest such time, in seconds; it doubles each time the request is turned
+away or has to wait."""
+RISE_S = 0.25
+"""Time after a request for which there was more room than known, at which one
+more is granted, in seconds."""
+QUEUE_S = 0.5
+"""Time for which requests must wait at a server below its slots, in seconds, to
+show that it runs no more; a new request may wait for a moment."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -43,11 +50,13 @@
 
     Attributes:
         requests: Requests at the server, running or waiting.
+        waiting: Those of them that wait.
         age_s: Time since the answer arrived, in seconds.
         refused: The answer turned a request away, which is not one of them.
     """
 
     requests: int
+    waiting: int = 0
     age_s: float = 0.0
     refused: bool = False
 
@@ -57,8 +66,10 @@
 
     Attributes:
         others: Expected number of requests that nobody granted.
-        capacity: Requests that the server had when it turned one away, None if
-            it has not turned any away below its slots.
+        capacity: Requests that the server had when it turned one away or let
+            others wait, None if it has not done so below its slots.
+        queued_since: Clock since which all loads show requests that wait, in
+            seconds; infinite if the last one shows none.
         counts: Clock readings and the requests that were granted then.
     """
 
@@ -69,6 +80,7 @@
         self.capacity: int | None = None
         self.probe_s = PROBE_S
         self.probe_at = math.inf
+        self.queued_since = math.inf
         self.counts: collections.deque[tuple[float, int]] = collections.deque()
 
     def record_count(self, running: int, now: float) -> None:
@@ -102,9 +114,10 @@
             slots: Requests that it runs at once, as it says.
         """
         counted = self.granted_then(load, now)
-        if self.capacity is not None and load.requests > self.capacity:
-            self.capacity, self.probe_s = load.requests, PROBE_S
-            self.probe_at = now + PROBE_S
+        running = load.requests - load.waiting
+        if self.capacity is not None and running > self.capacity:
+            self.capacity, self.probe_s = running, PROBE_S
+            self.probe_at = now + RISE_S
         others = max(0, load.requests - counted)
         if others and load.requests >= self.limit(slots):
             others += 1  # Others that were turned away are in no load.
@@ -118,12 +131,22 @@
             )
         self.observed_at = now
 
+    def record_queue(self, load: StatedLoad, slots: int, now: float) -> None:
+        """Records whether requests wait at a server that states free slots."""
+        if not load.waiting:
+            self.queued_since = math.inf
+            return
+        self.queued_since = min(self.queued_since, now)
+        if now - self.queued_since >= QUEUE_S:
+            self.record_full(load.requests - load.waiting, slots, now)
+            self.queued_since = now
+
     def granted_then(self, load: StatedLoad, now: float) -> int:
         """Returns the granted requests that a stated load may include."""
         return max(0, self.counted(now - load.age_s) - load.refused)
 
     def record_full(self, requests: int, slots: int, now: float) -> None:
-        """Records that a server with so many requests turned one away."""
+        """Records that a server ran so many requests and no more."""
         if requests >= slots:
             return
         if self.capacity is not None and requests >= self.capacity:
