Count requests again before a node that stops exits

Cause, from reading: the node counted the requests in the turn of the event loop in which it asked for idle connections to be closed, took its report back and exited. A connection on which bytes arrive before it is closed stays open, and its request was not counted any more. Ruled out: the check of attempts in a stop (the request was sent), a request that is answered (it counts), one in the queue of the listener (it is reset before it is read).

Requests are counted after the idle connections are closed, and again after the report was taken back; no new ones can come then. The test fails before.

--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -661,18 +661,23 @@
             "node %s is stopping", self.settings.name, extra={"event": "stop"}
         )
         gevent.spawn(self.relay_client.report_now)
-        accepting = True
-        while not self.grace.is_over():
+        while self.grace.is_accepting() and not self.grace.is_over():
             gevent.sleep(CHECK_PERIOD_S)
-            if accepting and not self.grace.is_accepting():
-                accepting = False
-                stop_accepting()
-            if not accepting and not requests_running():
-                break
+        stop_accepting()
+        self.wait_for_requests(requests_running)
         with gevent.Timeout(KILL_MARGIN_S / 2, False):
             self.fleet.withdraw()
+        # One may have arrived between the count and the end of its connection.
+        self.wait_for_requests(requests_running)
         log.info(
             "node %s stopped",
             self.settings.name,
             extra={"event": "stopped", "running": requests_running()},
         )
+
+    def wait_for_requests(self, requests_running: Callable[[], int]) -> None:
+        """Waits until no request runs, or the grace period is over."""
+        while not self.grace.is_over():
+            gevent.sleep(CHECK_PERIOD_S)
+            if not requests_running():
+                return
--- a/test/test_late_in_a_stop.py
+++ b/test/test_late_in_a_stop.py
@@ -115,6 +115,21 @@
     assert answer.status == 200
 
 
+# Guards against an exit while a request is answered that arrived between the
+# count of requests and the close of idle connections.
+def test_request_that_comes_after_the_count_is_waited_for(fleet):
+    """It was read and passed on, and its connection ended unanswered."""
+    node, running = fleet.nodes[0], []
+
+    def withdraw_meanwhile() -> None:
+        running.append("request")
+        gevent.spawn_later(0.5, running.clear)
+
+    node.fleet.withdraw = withdraw_meanwhile
+    node.stop(lambda: len(running), lambda: None)
+    assert not running
+
+
 def test_grace_period_fits_what_ends_before_it():
     """Early requests are always accepted."""
     clock = FakeClock()
