Log which nodes join and leave the fleet, and on whose word

The logs told when a relay was lost, but not which nodes a node takes for live, on whose report and how old that is, so that hypotheses A (the age starts anew when a report is read), B (bounds add up) and C (the age stands still without the store) look alike.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -44,6 +44,8 @@
 """Time after which a report that the store has not confirmed counts as failed,
 in seconds. Members must find another relay that reports them before their last
 report expires."""
+MAX_LOGGED_NODES = 20
+"""Maximum number of nodes in one log line about changes of the fleet."""
 REPORT_REMOVAL_AGE_S = 60.0
 """Age at which the first live reporter, by name, removes a report from the
 store, in seconds."""
@@ -121,6 +123,7 @@
         )
         self.summary: FleetSummary | None = None
         self.summary_received_at = -math.inf
+        self.logged_nodes: set[str] = set()
         self.write_failed = False
         self.write_started_at = math.inf
         self.receive_suspects: Callable[[list[SuspectFact]], object] | None = (
@@ -337,6 +340,40 @@
         found[mine.node] = mine
         return list(found.values())
 
+    def log_changes(self) -> None:
+        """Logs which nodes joined or left the live ones since the last call."""
+        present = {entry.node for entry in self.nodes()}
+        joined = sorted(present - self.logged_nodes)
+        left = sorted(self.logged_nodes - present)
+        self.logged_nodes = present
+        if not joined and not left:
+            return
+        log.info(
+            "%d nodes joined the fleet and %d left it",
+            len(joined),
+            len(left),
+            extra={
+                "event": "nodes",
+                "live": len(present),
+                "joined": {n: self.basis(n) for n in joined[:MAX_LOGGED_NODES]},
+                "left": {n: self.basis(n) for n in left[:MAX_LOGGED_NODES]},
+                "through_relay": self.summary is not None,
+                "age_s": round(self.age_s(), 2),
+            },
+        )
+
+    def basis(self, node: str) -> dict[str, float]:
+        """Returns who reports a node -> seconds since the report arrived."""
+        now = self.clock()
+        found = {
+            received.report.reporter: round(now - received.received_at, 2)
+            for received in self.reports.values()
+            if any(entry.node == node for entry in received.report.nodes)
+        }
+        if node in self.members:
+            found["itself"] = round(now - self.members[node][1], 2)
+        return found
+
     def reported_config_version(self) -> int:
         """Returns the newest configuration at any reported node, -1 if none."""
         entries = [
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -434,6 +434,7 @@
         """
         if self.announced and self.relay_client.relay is None:
             self.fleet.sync()
+        self.fleet.log_changes()
         self.update_retry_budget()
 
     def advance_rollouts(self) -> None:
--- a/test/test_routing_knowledge.py
+++ b/test/test_routing_knowledge.py
@@ -719,3 +719,22 @@
     clock.advance(0.5)
     assert member.rollout_ages() == {"pool|v2|5": 5.5}
     assert FleetView(store, lambda: make_report("n9")).rollout_ages() == {}
+
+
+def test_changes_of_the_fleet_are_logged_with_their_basis(caplog):
+    """Without it no log tells on whose word a dead node is still listed."""
+    clock = FakeClock()
+    store = FakeStore()
+    view = FleetView(store, lambda: make_report("n1"), clock=clock)
+    other = FleetView(store, lambda: make_report("n2"), clock=clock)
+    view.follower.read_once()
+    other.update_member(make_report("n3"))
+    other.publish()
+    view.follower.read_once()
+    clock.now += 0.5
+    with caplog.at_level("INFO"):
+        view.log_changes()
+        view.log_changes()
+    (line,) = [r for r in caplog.records if getattr(r, "event", "") == "nodes"]
+    assert line.joined == {"n1": {}, "n2": {"n2": 0.5}, "n3": {"n2": 0.5}}
+    assert (line.left, line.live) == ({}, 3)
