Send callers only to nodes with a young sign of life

Cause: whether a node lives was decided from the receipt of reports. Each hop (a member's exchange, the report of its relay, the read of another one, its summary) keeps its own bound and dates what it passes on anew; without the store the age stands still; a node that goes on after a pause answers from what it knew before. Class: the age of a fact is counted from its receipt, not from its origin.

Change: signs of life are dated by the latest time at which a node is certain to have lived. Reports and summaries state their ages, and each hop adds the time for which it held them. A record of the store counts from the last complete read before it. So a live node stays named while the store is slow or away, and one that starts or was paused asks before it names. A node with too old a configuration for requests with keys is not named by one that has a young one. Nodes of earlier builds answer 404, which counts.

Not taken: a gossip of its own (all-to-all at 390 nodes), dating by wall clocks.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/counted_store.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/counted_store.py
@@ -18,9 +18,10 @@
     """
 
     def __init__(self, store: KeyedStore, metrics: Metrics):
-        """Counts the calls to `store`."""
+        """Counts the calls to `store`, and the changes of its era."""
         self.store = store
         self.era = store.era
+        self.era.metrics = metrics
         self.metrics = metrics
 
     def newest(self, topic: str) -> Result[TopicPage, StoreError]:
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -14,6 +14,7 @@
     KeyedRecord,
     KeyedStore,
 )
+from amaranthlug.coordination.routing.node_signs import NodeSigns
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.state.routing.fleet import (
     BrittleServices,
@@ -72,6 +73,8 @@
         rollout_ages: Ages of active roll-outs when the relay answered.
         suspects: Requests under which servers ended, from all nodes.
         brittle: Services whose servers are brittle, from all nodes.
+        sign_ages: Ages of the newest signs of life of all live nodes, sorted by
+            their names, as `stated_age` gives them; empty from earlier builds.
     """
 
     nodes: list[NodeEntry]
@@ -80,6 +83,7 @@
     rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
     suspects: list[SuspectFact] = dataclasses.field(default_factory=list)
     brittle: BrittleServices = dataclasses.field(default_factory=dict)
+    sign_ages: list[int] = dataclasses.field(default_factory=list)
 
 
 class FleetView:
@@ -116,6 +120,7 @@
         self.describe_node = describe_node
         self.describe_entry = describe_entry or (lambda: describe_node().entry)
         self.clock = clock
+        self.signs = NodeSigns(clock)
         self.reports: dict[str, ReceivedReport] = {}
         self.members: dict[str, tuple[NodeReport, float]] = {}
         self.follower = TopicFollower(
@@ -161,9 +166,21 @@
             )
             return False
         self.reports[record.key] = ReceivedReport(report, self.clock())
+        self.record_signs(report)
         self.pass_on(report)
         return True
 
+    def record_signs(self, report: FleetReport) -> None:
+        """Records the signs of life in a report that was not read before.
+
+        It may have been written at any time since the last complete read.
+        """
+        written_at = self.follower.confirmed_at
+        self.signs.record_stated(
+            (entry.node for entry in report.nodes), report.sign_ages, written_at
+        )
+        self.signs.record(report.reporter, written_at)
+
     def sync(self) -> None:
         """Publishes this node's fleet report and reads those of the others.
 
@@ -220,7 +237,11 @@
     def fleet_report(self) -> FleetReport:
         """Returns the combined report of this node and its members."""
         mine = self.describe_node()
-        return merge_reports(mine.entry.node, [mine, *self.live_members()])
+        report = merge_reports(mine.entry.node, [mine, *self.live_members()])
+        return dataclasses.replace(
+            report,
+            sign_ages=self.signs.stated_ages(e.node for e in report.nodes),
+        )
 
     def live_members(self) -> list[NodeReport]:
         """Drops members that are gone and returns the reports of the others.
@@ -247,12 +268,24 @@
     def update_member(self, report: NodeReport) -> None:
         """Stores the report of a member."""
         self.members[report.entry.node] = (report, self.clock())
+        self.signs.record(report.entry.node, self.clock())
         self.pass_on(report)
 
-    def set_summary(self, summary: FleetSummary) -> None:
-        """Stores the summary sent by this node's relay."""
+    def set_summary(
+        self, summary: FleetSummary, formed_at: float = -math.inf
+    ) -> None:
+        """Stores the summary sent by this node's relay.
+
+        Args:
+            summary: The summary, with the list of nodes in any case.
+            formed_at: Clock at which it was formed at the earliest, in seconds;
+                minus infinity if unknown.
+        """
         self.summary = summary
         self.summary_received_at = self.clock()
+        self.signs.record_stated(
+            node_names(summary.nodes), summary.sign_ages, formed_at
+        )
         self.pass_on(summary)
 
     def pass_on(self, report: NodeReport | FleetReport | FleetSummary) -> None:
@@ -273,8 +306,9 @@
         all_received = self.live_received(mine.entry.node)
         received = [each.report for each in all_received]
         now = self.clock()
+        nodes = self.nodes()
         return FleetSummary(
-            self.nodes(),
+            nodes,
             sum_evidence([others.evidence, *(r.evidence for r in received)]),
             sum_running([others.running, *(r.running for r in received)]),
             highest_ages([others.rollout_ages, self.reported_ages()]),
@@ -290,6 +324,7 @@
                     ),
                 ]
             ),
+            self.signs.stated_ages(node_names(nodes)),
         )
 
     def removable_report_keys(self, own_name: str) -> list[str]:
@@ -430,3 +465,8 @@
         if self.summary is not None:
             return self.clock() - self.summary_received_at
         return self.follower.age_s()
+
+
+def node_names(nodes: list[NodeEntry]) -> list[str]:
+    """Returns the names of nodes in the order in which ages are stated."""
+    return sorted(entry.node for entry in nodes)
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -320,6 +320,7 @@
         if self.relay is not None:
             self.leave_relay()
         self.reader, self.fed_at = reader, self.clock()
+        self.fleet.signs.record(reader.node, sent_at + answer.held_s)
         self.apply_topics(followers, answer.topics, sent_at + answer.held_s)
         return True
 
@@ -354,15 +355,14 @@
                 extra={"event": "relay", "relay": relay.node},
             )
         self.relay, self.reader = relay, None
-        # The relay built the answer no earlier than this.
-        self.apply_topics(
-            self.followers, answer.topics, sent_at + answer.held_s
-        )
+        formed_at = sent_at + answer.held_s  # At the earliest.
+        self.fleet.signs.record(relay.node, formed_at)
+        self.apply_topics(self.followers, answer.topics, formed_at)
         summary = answer.summary
         if answer.nodes_digest == self.nodes_digest and self.fleet.summary:
             summary.nodes = self.fleet.summary.nodes
         self.nodes_digest = answer.nodes_digest
-        self.fleet.set_summary(summary)
+        self.fleet.set_summary(summary, formed_at)
 
     def apply_topics(
         self,
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -20,7 +20,12 @@
     OperatorDecoder,
 )
 from amaranthlug.coordination.routing.counted_store import CountedStore
-from amaranthlug.coordination.routing.entry_choice import choose_entries
+from amaranthlug.coordination.routing.entry_directory import (
+    EntryDirectory,
+    LifeAnswer,
+    LifePort,
+    LifeRequest,
+)
 from amaranthlug.coordination.routing.fleet_suspects import (
     FleetSuspects,
     NoticePort,
@@ -171,6 +176,7 @@
     ClaimPort,
     NoticePort,
     GrantPort,
+    LifePort,
     PeerPathPort[HttpConnection],
     Protocol,
 ):
@@ -213,7 +219,6 @@
         self.stop_requested = Event()
         store = CountedStore(store, self.metrics)
         self.store_era = store.era
-        self.store_era.metrics = self.metrics
         self.config = ConfigSource(codec)
         breaker = StoreCircuitBreaker()
         self.config_follower = TopicFollower(
@@ -240,6 +245,15 @@
             breaker,
             describe_entry=self.node_entry,
         )
+        self.directory = EntryDirectory(
+            settings.name,
+            self.fleet.nodes,
+            self.fleet.signs,
+            peers,
+            self.has_confirmed_config,
+            self.metrics,
+            self.random,
+        )
         self.suspects = FleetSuspects(
             settings.name, self.fleet, peers, self.metrics
         )
@@ -435,6 +449,7 @@
         if self.announced and self.relay_client.relay is None:
             self.fleet.sync()
         self.fleet.log_changes()
+        self.directory.refresh()
         self.update_retry_budget()
 
     def advance_rollouts(self) -> None:
@@ -532,7 +547,11 @@
 
     def entry_addresses(self, zone: str, region: str) -> list[str]:
         """Returns the node addresses for a caller in `zone` of `region`."""
-        return choose_entries(self.fleet.nodes(), zone, region, self.random)
+        return self.directory.addresses(zone, region)
+
+    def answer_life(self, request: LifeRequest) -> LifeAnswer:
+        """Tells another node whether this one serves callers."""
+        return self.directory.answer(request, self.is_ready())
 
     def entry_ttl_s(self) -> float:
         """Returns how long callers may cache addresses, in seconds."""
@@ -576,6 +595,10 @@
             return math.inf
         return self.config_follower.age_s()
 
+    def has_confirmed_config(self) -> bool:
+        """Returns whether requests with keys are accepted at present."""
+        return self.config_age_s() <= self.router.key_age_limit_s
+
     def has_caught_up(self) -> bool:
         """Returns whether this node has been as far as the others once.
 
--- a/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
@@ -88,6 +88,9 @@
         rollout_ages: Ages of active roll-outs that these nodes know.
         suspects: Requests under which servers ended.
         brittle: Services whose servers told these nodes that they are brittle.
+        sign_ages: Ages of the newest signs of life of `nodes` at the reporter
+            when it wrote this, as `stated_age` gives them; empty in reports
+            of earlier builds.
     """
 
     reporter: str
@@ -97,6 +100,7 @@
     rollout_ages: RolloutAges = dataclasses.field(default_factory=dict)
     suspects: list[SuspectFact] = dataclasses.field(default_factory=list)
     brittle: BrittleServices = dataclasses.field(default_factory=dict)
+    sign_ages: list[int] = dataclasses.field(default_factory=list)
 
 
 def sum_evidence(parts: list[EvidenceByRollout]) -> EvidenceByRollout:
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -6,6 +6,10 @@
 
 import msgspec
 
+from amaranthlug.coordination.routing.entry_directory import (
+    LifeAnswer,
+    LifeRequest,
+)
 from amaranthlug.coordination.routing.fleet_suspects import (
     FleetSuspects,
     NoticeAnswer,
@@ -56,6 +60,7 @@
 CLAIM_PATH = "/peer/session-claim"
 NOTICE_PATH = "/peer/suspects"
 GRANT_PATH = "/peer/grants"
+LIFE_PATH = "/peer/life"
 CONNECT_TIMEOUT_S = 0.3
 """Longest wait for a connection to another node, in seconds."""
 MAX_ANSWER_BYTES = 16 << 20
@@ -74,6 +79,19 @@
 Message = TypeVar("Message")
 
 
+class PeerStatusError(OSError):
+    """A node answered with a status other than 200 and 503.
+
+    Attributes:
+        status: The status.
+    """
+
+    def __init__(self, status: int):
+        """Creates the error of an answer with `status`."""
+        super().__init__(f"the node answered {status}")
+        self.status = status
+
+
 class PeerEndpoint:
     """Serves all messages of other nodes."""
 
@@ -84,6 +102,7 @@
         suspects: FleetSuspects,
         grants: GrantOwners,
         paths: PeerPaths,
+        answer_life: Callable[[LifeRequest], LifeAnswer],
     ):
         """Creates an endpoint for the parts of a node that answer others."""
         self.paths = paths
@@ -94,6 +113,7 @@
             NOTICE_PATH: (SuspectNotice, suspects.receive),
             GRANT_PATH: (GrantRequest, grants.answer),
             CHECK_PATH: (PathRequest, paths.check),
+            LIFE_PATH: (LifeRequest, answer_life),
         }
 
     def handle(self, incoming: IncomingRequest, responder: Responder) -> None:
@@ -190,6 +210,24 @@
         """
         return self.post(address, GRANT_PATH, request, timeout_s, GrantAnswer)
 
+    def ask_life(
+        self, address: str, request: LifeRequest, timeout_s: float
+    ) -> LifeAnswer | None:
+        """Returns the answer of a node; None if its build has no such answer.
+
+        Raises:
+            OSError: The node could not be reached or its response is invalid.
+        """
+        try:
+            # An idle connection may have gone silent although the node lives.
+            return self.post(
+                address, LIFE_PATH, request, timeout_s, LifeAnswer, fresh=True
+            )
+        except PeerStatusError as error:
+            if error.status == 404:
+                return None
+            raise
+
     def check_path(
         self, node: NodeEntry, server: ServerEntry, timeout_s: float
     ) -> PathReport:
@@ -248,14 +286,26 @@
         request: Any,
         timeout_s: float,
         answer_type: type[Message],
+        fresh: bool = False,
     ) -> Message:
         """Sends a message to the node at `address`; returns its answer.
 
+        Args:
+            address: `host:port` of the node.
+            path: Path of the message's kind.
+            request: The message.
+            timeout_s: Longest wait for the answer, in seconds.
+            answer_type: Type of the answer.
+            fresh: Uses a new connection.
+
         Raises:
             RelayRefusedError: The node answered 503.
             OSError: The node could not be reached or its response is invalid.
         """
-        connection = self.take_connection(address, timeout_s)
+        if fresh:
+            connection = self.open_connection(address, timeout_s)
+        else:
+            connection = self.take_connection(address, timeout_s)
         body = msgspec.json.encode(request)
         headers = [("Host", address), ("Content-Length", str(len(body)))]
         try:
@@ -325,7 +375,7 @@
         if head.status == 503:
             raise RelayRefusedError("the node answered 503")
         if head.status != 200:
-            raise OSError(f"the node answered {head.status}")
+            raise PeerStatusError(head.status)
         try:
             return msgspec.json.decode(body, type=answer_type)
         except UNREADABLE as error:
