Do not count a fleet report as new each time that it is read

What callers saw: a node that had lost its relay went on taking it for live, also as a relay, owner or standby, for as long as others kept reading its last report.

Cause: FleetView dated each report with the clock of its reading. A member does not read the topic while it has a relay; after the loss it reads on from its old position, and a complete read (start, expired history) returns all that the store keeps.

Change: a report with a known offset keeps its date, unless offsets began anew in a copy. Reports that are read at once are dated by their order: while another node has written n of them behind a report, n - 1 periods have passed. The 60 s until an old report is removed do not start again with each full read either.

Ruled out: clocks of the writers in the reports; they step by seconds. Not taken: a first full read dated by its offsets, since former relays distort the count; such nodes are asked before they are named.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -15,7 +15,7 @@
     KeyedStore,
 )
 from amaranthlug.coordination.routing.node_signs import NodeSigns
-from amaranthlug.coordination.routing.topic_follower import TopicFollower
+from amaranthlug.coordination.routing.report_follower import ReportFollower
 from amaranthlug.state.routing.fleet import (
     BrittleServices,
     EvidenceByRollout,
@@ -47,6 +47,8 @@
 report expires."""
 MAX_LOGGED_NODES = 20
 """Maximum number of nodes in one log line about changes of the fleet."""
+REPORT_PERIOD_S = 1.0
+"""Period of this node's reports, in seconds."""
 REPORT_REMOVAL_AGE_S = 60.0
 """Age at which the first live reporter, by name, removes a report from the
 store, in seconds."""
@@ -56,10 +58,18 @@
 
 @dataclasses.dataclass
 class ReceivedReport:
-    """A fleet report and the local clock when it was received, in seconds."""
+    """A fleet report as it was read.
+
+    Attributes:
+        report: The report.
+        received_at: Local clock when it was first received, less the time for
+            which it was in the store as the reports behind it show, in seconds.
+        offset: Its offset in the store; None if offsets began anew since.
+    """
 
     report: FleetReport
     received_at: float
+    offset: int | None
 
 
 @dataclasses.dataclass
@@ -123,7 +133,8 @@
         self.signs = NodeSigns(clock)
         self.reports: dict[str, ReceivedReport] = {}
         self.members: dict[str, tuple[NodeReport, float]] = {}
-        self.follower = TopicFollower(
+        self.periods_behind: dict[int, int] = {}
+        self.follower = ReportFollower(
             store, NODES_TOPIC, self, wait_s=0.0, breaker=breaker, clock=clock
         )
         self.summary: FleetSummary | None = None
@@ -139,16 +150,22 @@
         )
 
     def replace(self, records: list[KeyedRecord]) -> None:
-        """Replaces all known reports."""
-        self.reports.clear()
+        """Replaces all known reports; keeps the dates of those known before."""
+        former, self.reports = self.reports, {}
         for record in records:
-            self.apply(record)
+            known = former.get(record.key)
+            if known is not None and known.offset == record.offset:
+                self.reports[record.key] = known
+            else:
+                self.apply(record)
 
     def restore(self, records: list[KeyedRecord]) -> list[KeyedRecord]:
         """Keeps the known reports; those of a copy may be of former nodes.
 
         Live nodes report again within a second.
         """
+        for received in self.reports.values():
+            received.offset = None
         return []
 
     def apply(self, record: KeyedRecord) -> bool:
@@ -165,7 +182,10 @@
                 extra={"event": "report_unreadable", "subject": record.key},
             )
             return False
-        self.reports[record.key] = ReceivedReport(report, self.clock())
+        stored_s = self.periods_behind.get(record.offset, 0) * REPORT_PERIOD_S
+        self.reports[record.key] = ReceivedReport(
+            report, self.clock() - stored_s, record.offset
+        )
         self.record_signs(report)
         self.pass_on(report)
         return True
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -30,7 +30,10 @@
     FleetSuspects,
     NoticePort,
 )
-from amaranthlug.coordination.routing.fleet_view import FleetView
+from amaranthlug.coordination.routing.fleet_view import (
+    REPORT_PERIOD_S,
+    FleetView,
+)
 from amaranthlug.coordination.routing.grant_owners import (
     USAGE_REPORT_PERIOD_S,
     GrantOwners,
@@ -111,8 +114,6 @@
 2 s."""
 STATUS_READ_WAIT_S = 4.0
 """Maximum wait of one read of the roll-out states, in seconds."""
-REPORT_PERIOD_S = 1.0
-"""Period of this node's reports, in seconds."""
 ROLLOUT_PERIOD_S = 0.3
 """Period of the checks for due roll-out phases, in seconds."""
 LINK_PERIOD_S = 0.25
--- a/test/test_entry_directory.py
+++ b/test/test_entry_directory.py
@@ -1,10 +1,13 @@
 """Tests of the nodes that callers are sent to; no network."""
 
 import math
+from collections import Counter
 
 import pytest
 from _routing import FakeClock, FakeStore, make_node_entry, make_report
 from _signs import DirectoryCase
+from hypothesis import given
+from hypothesis import strategies as st
 
 from amaranthlug.coordination.routing.entry_directory import (
     ASK_AGAIN_S,
@@ -17,12 +20,14 @@
     LifeRequest,
 )
 from amaranthlug.coordination.routing.fleet_view import FleetView
+from amaranthlug.coordination.routing.keyed_store import KeyedRecord
 from amaranthlug.coordination.routing.node_signs import (
     MAX_NODES,
     UNKNOWN_AGE,
     NodeSigns,
 )
 from amaranthlug.coordination.routing.relay_roles import NODES_PER_RELAY
+from amaranthlug.coordination.routing.report_follower import periods_behind
 
 
 def test_nodes_that_were_just_heard_are_named_and_not_asked():
@@ -209,3 +214,77 @@
     assert [entry.node for entry in summary.nodes] != ["n1", "n5", "n9"]
     assert summary.sign_ages == [3, UNKNOWN_AGE, 8]
     assert make_node_entry("n1") in summary.nodes
+
+
+def make_writers(store, clock, names):
+    """Returns views of nodes that write to the same store."""
+    writers = {
+        name: FleetView(store, lambda name=name: make_report(name), clock=clock)
+        for name in names
+    }
+    for writer in writers.values():
+        writer.follower.read_once()
+    return writers
+
+
+# Guards against a dead node that counts as new at each node that reads the
+# topic again after a while: a member that lost its relay read all of it.
+def test_last_report_of_a_dead_node_is_old_where_it_is_read_late():
+    """Three others have reported four times since."""
+    store, clock = FakeStore(), FakeClock()
+    view = FleetView(store, lambda: make_report("n0"), clock=clock)
+    view.follower.read_once()
+    writers = make_writers(store, clock, ("n1", "n2", "n3", "dead"))
+    clock.advance(20.0)
+    for name in ["dead", *["n1", "n2", "n3"] * 5]:
+        writers[name].publish()
+    view.follower.read_once()
+    names = {entry.node for entry in view.nodes()}
+    assert names == {"n0", "n1", "n2", "n3"}
+    assert view.signs.age_s("dead") >= 20.0
+
+
+# Guards against reports that never grow old while the store drops its history.
+def test_report_that_is_read_again_does_not_become_newer():
+    """Each read is a full one then."""
+    store, clock = FakeStore(), FakeClock()
+    view = FleetView(store, lambda: make_report("n0"), clock=clock)
+    writers = make_writers(store, clock, ("n1", "dead"))
+    writers["dead"].publish()
+    view.follower.read_once()
+    for _ in range(4):
+        clock.advance(1.0)
+        writers["n1"].publish()
+        view.follower.position = None
+        view.follower.read_once()
+    assert {entry.node for entry in view.nodes()} == {"n0", "n1"}
+    assert view.signs.age_s("dead") >= 4.0
+
+
+def test_offsets_of_a_copy_are_not_taken_for_known_reports():
+    """They are given out again after the store returned to a copy."""
+    store, clock = FakeStore(), FakeClock()
+    view = FleetView(store, lambda: make_report("n0"), clock=clock)
+    writers = make_writers(store, clock, ("n1",))
+    view.follower.read_once()
+    writers["n1"].publish()
+    view.follower.read_once()
+    store.records.clear()
+    view.follower.begin_restore()
+    view.follower.read_once()
+    clock.advance(4.0)
+    writers["n1"].publish()
+    view.follower.position = None
+    view.follower.read_once()
+    assert {entry.node for entry in view.nodes()} == {"n0", "n1"}
+
+
+@given(st.lists(st.sampled_from("abcd"), max_size=40))
+def test_periods_behind_counts_the_writer_that_wrote_most(keys):
+    """Compared with a count at each record."""
+    records = [KeyedRecord(key, b"", i) for i, key in enumerate(keys)]
+    expected = {}
+    for i, key in enumerate(keys):
+        others = Counter(k for k in keys[i + 1 :] if k != key)
+        expected[i] = max(0, max(others.values(), default=0) - 1)
+    assert periods_behind(records) == expected
