Take what was reported last of a node that two reports list

What callers saw: a live node was missing from answers for 2 to 4 s after it had started or changed its relay.

Cause: a node that changes its relay, or becomes one, stays in the report of its former relay for up to 1.8 s, and in the last report of a former reporter for as long as that counts. Which entry won depended on the order of a table, so that a node could count as not serving although it had reported since that it does.

Change: the entry with the least age wins, counted from the node itself by the ages that reports state now.

Result: test_newest_report_of_a_node_wins fails in one of two orders before.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -14,7 +14,10 @@
     KeyedRecord,
     KeyedStore,
 )
-from amaranthlug.coordination.routing.node_signs import NodeSigns
+from amaranthlug.coordination.routing.node_signs import (
+    AGE_STEPS_PER_S,
+    NodeSigns,
+)
 from amaranthlug.coordination.routing.report_follower import ReportFollower
 from amaranthlug.state.routing.fleet import (
     BrittleServices,
@@ -71,6 +74,17 @@
     received_at: float
     offset: int | None
 
+    def entry_ages(self) -> list[tuple[NodeEntry, float]]:
+        """Returns the nodes with their ages when it was written, in seconds."""
+        nodes = self.report.nodes
+        ages = [age / AGE_STEPS_PER_S for age in self.report.sign_ages]
+        if len(ages) != len(nodes):  # Of an earlier build.
+            ages = [MAX_MEMBER_AGE_S] * len(nodes)
+        return [
+            (entry, 0.0 if entry.node == self.report.reporter else age_s)
+            for entry, age_s in zip(nodes, ages, strict=True)
+        ]
+
 
 @dataclasses.dataclass
 class FleetSummary:
@@ -385,16 +399,28 @@
         if self.summary is not None:
             found = {entry.node: entry for entry in self.summary.nodes}
         else:
-            found = {
-                entry.node: entry
-                for report in self.live_reports(mine.node)
-                for entry in report.nodes
-            }
-            for member in self.live_members():
-                found[member.entry.node] = member.entry
+            found = self.reported_nodes(mine.node)
         found[mine.node] = mine
         return list(found.values())
 
+    def reported_nodes(self, own_name: str) -> dict[str, NodeEntry]:
+        """Returns the nodes in live reports, each as it was reported last.
+
+        A node that has changed its relay is in the reports of both for a while.
+        """
+        now = self.clock()
+        found: dict[str, NodeEntry] = {}
+        ages: dict[str, float] = {}
+        for received in self.live_received(own_name):
+            held_s = now - received.received_at
+            for entry, age_s in received.entry_ages():
+                if held_s + age_s < ages.get(entry.node, math.inf):
+                    found[entry.node] = entry
+                    ages[entry.node] = held_s + age_s
+        for member in self.live_members():
+            found[member.entry.node] = member.entry
+        return found
+
     def log_changes(self) -> None:
         """Logs which nodes joined or left the live ones since the last call."""
         present = {entry.node for entry in self.nodes()}
--- a/test/test_entry_directory.py
+++ b/test/test_entry_directory.py
@@ -1,5 +1,6 @@
 """Tests of the nodes that callers are sent to; no network."""
 
+import dataclasses
 import math
 from collections import Counter
 
@@ -279,6 +280,27 @@
     assert {entry.node for entry in view.nodes()} == {"n0", "n1"}
 
 
+# Guards against a node that counted as not serving for 2 s after its start: the
+# report of its first relay, older than its own, won by its place in a table.
+@pytest.mark.parametrize("order", [("n0", "n1"), ("n1", "n0")])
+def test_newest_report_of_a_node_wins(order):
+    """A node that became a relay is in the report of its former one for 2 s."""
+    store, clock = FakeStore(), FakeClock()
+    view = FleetView(store, lambda: make_report("n9"), clock=clock)
+    writers = make_writers(store, clock, ("n0", "n1"))
+    view.follower.read_once()
+    starting = dataclasses.replace(
+        make_report("n0"), entry=make_node_entry("n0", serving=False)
+    )
+    writers["n1"].update_member(starting)
+    clock.advance(0.7)
+    for name in order:
+        writers[name].publish()
+    view.follower.read_once()
+    found = {entry.node: entry.serving for entry in view.nodes()}
+    assert found == {"n9": True, "n0": True, "n1": True}
+
+
 @given(st.lists(st.sampled_from("abcd"), max_size=40))
 def test_periods_behind_counts_the_writer_that_wrote_most(keys):
     """Compared with a count at each record."""
