Try a relay that did not answer only after a newer sign of life

What callers saw: nothing by itself; a member of a dead relay left the relay that served it after a second, asked the dead one for 1.2 s and read the store, by turns, while the dead one was listed (logs of node-5 at 31.6 s after 29.3 s).

Cause: a relay was avoided for 1 s after it did not answer, and its own zone's relay is preferred again then.

Change: a relay that was asked in vain is tried again when it has given a sign of life since, directly or through others, or after 5 s.

Ruled out: a longer pause alone; a relay that froze for a moment would be avoided although it lives (its report tells).

Result: test_silent_relay_is_not_tried_without_a_newer_sign fails before.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/relay_client.py
@@ -43,6 +43,9 @@
 NO_ANSWER_AVOID_S = 1.0
 """Time before a relay that did not answer is tried again, in seconds; a retry
 is cheap since it makes no call to the store."""
+SILENT_AVOID_S = 5.0
+"""Longest time for which a relay that did not answer is not tried for want of a
+newer sign of life, in seconds."""
 REFUSED_AVOID_S = 0.3
 """Time before a relay that refused is tried again, in seconds; shorter, since a
 refusal comes without delay."""
@@ -110,6 +113,7 @@
         self.reader: NodeEntry | None = None
         self.fed_at = -math.inf
         self.avoided_until: dict[str, float] = {}
+        self.silent_since: dict[str, float] = {}
         self.nodes_digest = ""
         self.greenlet: gevent.Greenlet | None = None
         self.stopped = False
@@ -242,8 +246,21 @@
             for entry in sorted(group, key=self.relay_rank, reverse=True)
             if entry.node != self.own_name
             and self.avoided_until.get(entry.node, 0.0) <= now
+            and not self.is_silent(entry)
         ]
 
+    def is_silent(self, relay: NodeEntry) -> bool:
+        """Returns whether a relay gave no sign of life since it was asked.
+
+        It is tried again after `SILENT_AVOID_S` in any case.
+        """
+        silent_since = self.silent_since.get(relay.node, -math.inf)
+        if self.clock() - silent_since > SILENT_AVOID_S:
+            return False
+        return silent_since > self.fleet.signs.heard_at.get(
+            relay.node, -math.inf
+        )
+
     def relay_rank(self, relay: NodeEntry) -> int:
         """Returns a pseudo-random rank, which spreads nodes over the relays."""
         return xxhash.xxh3_64_intdigest(
@@ -331,6 +348,7 @@
         """
         if self.stopped:
             return None
+        asked_at = self.clock()
         try:
             answer = send()
         except RelayRefusedError as error:
@@ -338,6 +356,7 @@
             return None
         except OSError as error:
             self.avoid_relay(node, str(error), NO_ANSWER_AVOID_S)
+            self.silent_since[node.node] = asked_at
             return None
         if not self.era.accept(answer.era):
             self.avoid_relay(node, "older era of the store", REFUSED_AVOID_S)
--- a/test/test_routing_knowledge.py
+++ b/test/test_routing_knowledge.py
@@ -738,3 +738,18 @@
     (line,) = [r for r in caplog.records if getattr(r, "event", "") == "nodes"]
     assert line.joined == {"n1": {}, "n2": {"n2": 0.5}, "n3": {"n2": 0.5}}
     assert (line.left, line.live) == ({}, 3)
+
+
+# Guards against a node that left the relay which served it each second to try
+# its dead one, while that was still listed.
+def test_silent_relay_is_not_tried_without_a_newer_sign(relay_pair):
+    """A sign of life may come through others."""
+    _, clock, _, _, _, client, *_ = relay_pair
+    relay = make_node_entry("n1")
+    client.fleet.nodes = lambda: [relay, make_node_entry("n2")]
+    client.peers.is_broken = True
+    assert not client.exchange(relay, 0.0)
+    clock.advance(NO_ANSWER_AVOID_S + 0.1)
+    assert client.usable([[relay]]) == []
+    client.fleet.signs.record("n1", clock())
+    assert client.usable([[relay]]) == [relay]
