Merge the nodes of reports only when these change

Change: the merged list is kept until the live reports change; ages grow alike, so that the order stays. Ages for a summary are stated in one pass.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/fleet_view.py
@@ -86,6 +86,37 @@
         ]
 
 
+class MergedNodes:
+    """The nodes of several reports, merged again when these change.
+
+    The ages of all of them grow alike, so that the order stays.
+    """
+
+    def __init__(self) -> None:
+        """Starts without reports."""
+        self.reports: list[ReceivedReport] = []
+        self.nodes: dict[str, NodeEntry] = {}
+
+    def update(self, reports: list[ReceivedReport]) -> dict[str, NodeEntry]:
+        """Returns a copy of the newest entry of each node, by name."""
+        if [id(r) for r in reports] != [id(r) for r in self.reports]:
+            self.reports = reports
+            self.nodes = self.merge()
+        return dict(self.nodes)
+
+    def merge(self) -> dict[str, NodeEntry]:
+        """Returns the newest entry of each node in the reports."""
+        spoke_at: dict[str, float] = {}
+        found: dict[str, NodeEntry] = {}
+        for received in self.reports:
+            for entry, age_s in received.entry_ages():
+                at = received.received_at - age_s
+                if at > spoke_at.get(entry.node, -math.inf):
+                    spoke_at[entry.node] = at
+                    found[entry.node] = entry
+        return found
+
+
 @dataclasses.dataclass
 class FleetSummary:
     """State of the fleet that a relay sends to one of its members.
@@ -98,7 +129,8 @@
         suspects: Requests under which servers ended, from all nodes.
         brittle: Services whose servers are brittle, from all nodes.
         sign_ages: Ages of the newest signs of life of all live nodes, sorted by
-            their names, as `stated_age` gives them; empty from earlier builds.
+            their names, as `NodeSigns.stated_ages` gives them; empty from
+            earlier builds.
     """
 
     nodes: list[NodeEntry]
@@ -146,6 +178,7 @@
         self.clock = clock
         self.signs = NodeSigns(clock)
         self.reports: dict[str, ReceivedReport] = {}
+        self.merged = MergedNodes()
         self.members: dict[str, tuple[NodeReport, float]] = {}
         self.periods_behind: dict[int, int] = {}
         self.follower = ReportFollower(
@@ -404,19 +437,12 @@
         return list(found.values())
 
     def reported_nodes(self, own_name: str) -> dict[str, NodeEntry]:
-        """Returns the nodes in live reports, each as it was reported last.
+        """Returns the nodes in live reports and the members of this node.
 
-        A node that has changed its relay is in the reports of both for a while.
+        Each is as it was reported last: a node that has changed its relay is in
+        the reports of both for a while.
         """
-        now = self.clock()
-        found: dict[str, NodeEntry] = {}
-        ages: dict[str, float] = {}
-        for received in self.live_received(own_name):
-            held_s = now - received.received_at
-            for entry, age_s in received.entry_ages():
-                if held_s + age_s < ages.get(entry.node, math.inf):
-                    found[entry.node] = entry
-                    ages[entry.node] = held_s + age_s
+        found = self.merged.update(self.live_received(own_name))
         for member in self.live_members():
             found[member.entry.node] = member.entry
         return found
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/node_signs.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/node_signs.py
@@ -50,7 +50,13 @@
 
     def stated_ages(self, nodes: Iterable[str]) -> list[int]:
         """Returns the ages of nodes, rounded up, as they are sent to others."""
-        return [stated_age(self.age_s(node)) for node in nodes]
+        now, heard_at = self.clock(), self.heard_at
+        return [
+            max(0, math.ceil((now - heard_at[node]) * AGE_STEPS_PER_S))
+            if node in heard_at
+            else UNKNOWN_AGE
+            for node in nodes
+        ]
 
     def record_stated(
         self, nodes: Iterable[str], ages: Iterable[int], stated_at: float
@@ -65,10 +71,3 @@
         for node, age in zip(nodes, ages, strict=False):
             if age >= 0:
                 self.record(node, stated_at - age / AGE_STEPS_PER_S)
-
-
-def stated_age(age_s: float) -> int:
-    """Returns an age as it is sent to other nodes."""
-    if math.isinf(age_s):
-        return UNKNOWN_AGE
-    return max(0, math.ceil(age_s * AGE_STEPS_PER_S))
--- a/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/fleet.py
@@ -89,8 +89,8 @@
         suspects: Requests under which servers ended.
         brittle: Services whose servers told these nodes that they are brittle.
         sign_ages: Ages of the newest signs of life of `nodes` at the reporter
-            when it wrote this, as `stated_age` gives them; empty in reports
-            of earlier builds.
+            when it wrote this, as `NodeSigns.stated_ages` gives them; empty in
+            reports of earlier builds.
     """
 
     reporter: str
