Let troubles in the tests of dead nodes last as long as before

Change: a trouble is told how long it lasts; these rows last for 9 s again, the others and the soak for 6 s as before. No other check changes.

--- a/test/test_dead_nodes.py
+++ b/test/test_dead_nodes.py
@@ -36,6 +36,8 @@
 """Number of the other node of that zone."""
 WATCHED_S = 9.0
 """Time after the end of the node for which the others are asked, in seconds."""
+FAULT_S = 6.0
+"""Length of a trouble that ends meanwhile, in seconds."""
 OTHERS = (0, 2, 3, 6, 7, 4)
 """Numbers of the nodes of the other zones."""
 
@@ -49,20 +51,22 @@
         nodes: Numbers of the nodes that it concerns.
         excused: Numbers of the nodes that need not name all others, and that
             others need not name.
+        for_s: Length of the trouble, in seconds.
     """
 
     trouble: Trouble = nothing
     nodes: tuple[int, ...] = ()
     excused: tuple[int, ...] = ()
+    for_s: float = FAULT_S
 
 
 CASES = {
     "nothing": Case(),
     "others start again": Case(restart_in_turn, OTHERS, OTHERS),
-    "history dropped": Case(drop_history),
-    "slow store": Case(slow_store),
+    "history dropped": Case(drop_history, for_s=WATCHED_S),
+    "slow store": Case(slow_store, for_s=WATCHED_S),
     "silent store": Case(silent_store),
-    "lost answers of the store": Case(lose_answers),
+    "lost answers of the store": Case(lose_answers, for_s=WATCHED_S),
     # Without the store a relay refuses keys after 4.6 s, and is left out.
     "nodes cut from the store": Case(cut_from_store, (2, 3, 5), (2,)),
     "others paused": Case(pause, OTHERS, OTHERS),
@@ -83,7 +87,10 @@
         end(dead)
         died_at = time.monotonic()
         injected = gevent.spawn(
-            case.trouble, fleet, [fleet.nodes[n] for n in case.nodes]
+            case.trouble,
+            fleet,
+            [fleet.nodes[n] for n in case.nodes],
+            case.for_s,
         )
         gevent.sleep(WATCHED_S)
     finally:
