--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -5,12 +5,14 @@
 in the process of the script.
 """
 
+import collections
 import contextlib
 import dataclasses
 import json
 import os
 import pathlib
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -29,6 +31,10 @@
 
 import gevent  # noqa: E402
 
+from amaranthlug.transport.routing.http_server import (  # noqa: E402
+    IncomingRequest,
+    Responder,
+)
 from amaranthlug_platform.records import OPERATOR_TOPIC  # noqa: E402
 from amaranthlug_platform_standins.store import StoreStandIn  # noqa: E402
 from amaranthlug_standins.loopback import (  # noqa: E402
@@ -47,6 +53,8 @@
 GRACE_S = 8.0
 """Bound `grace_s` of that site."""
 IDLE_TIMEOUT_MS = 15_000
+READS_PER_S = 2_000
+"""Reading calls a second that the store takes from all nodes."""
 
 
 def troubled() -> bool:
@@ -135,6 +143,28 @@
         return int(found[1]) / 1_024 if found else 0.0
 
 
+class Store(StoreStandIn):
+    """The store, which turns calls away beyond its rate of reading calls."""
+
+    def __init__(self, address: str):
+        """Creates an empty store at `host:port`."""
+        super().__init__(address)
+        self.call_times: collections.deque[float] = collections.deque()
+        self.turned_away = 0
+
+    def handle(self, incoming: IncomingRequest, responder: Responder) -> None:
+        """Answers a call, with 429 if there were too many in a second."""
+        now = time.monotonic()
+        self.call_times.append(now)
+        while self.call_times[0] < now - 1.0:
+            self.call_times.popleft()
+        if len(self.call_times) > READS_PER_S:
+            self.turned_away += 1
+            responder.send_response(429, self.era_headers(), b"")
+            return
+        super().handle(incoming, responder)
+
+
 class Deployment:
     """Store, nodes and the record of a script."""
 
@@ -145,7 +175,7 @@
         self.record_path.write_text("")
         self.began = time.monotonic()
         self.addresses = LoopbackAddresses()
-        self.store = StoreStandIn(listener_addresses(1)[0])
+        self.store = Store(listener_addresses(1)[0])
         self.nodes = [self.make_node(number) for number in range(nodes)]
 
     def note(self, text: str) -> None:
@@ -408,6 +438,8 @@
 
 def run_case(case: str, nodes: int, play: Callable[[Deployment], bool]) -> None:
     """Runs a case and exits: 1 if `play` saw the rule broken, 0 if it held."""
+    _, most_files = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most_files, most_files))
     deployment = Deployment(case, nodes)
     limit = gevent.Timeout(110, CannotRunError("over 110 s"))
     limit.start()
