Log how the end of each answer is told

Cause: a truncated answer of unknown length looks like a whole one in the logs; whether paths through other nodes or ended servers truncate it cannot be told.

Ruled out as sufficient: `peer` alone, since it does not say whether the end was marked or inferred from the connection.

No decision changes.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -654,3 +654,8 @@
     """Closes a sent call or its reply, if there is one."""
     if call is not None:
         call.close()
+
+
+def framing_of(reply: UpstreamReply | None) -> str | None:
+    """Returns how the end of an answer is told, None without an answer."""
+    return reply.head.framing.value if reply else None
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -111,6 +111,15 @@
     slots: int
 
 
+class BodyFraming(enum.Enum):
+    """How the end of a body is told; values appear in logs."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+    """The body ends when the server closes the connection."""
+
+
 @dataclasses.dataclass
 class ReplyHead:
     """The head of a server's answer.
@@ -136,6 +145,7 @@
             None if it names no limit.
         content_type: Media type of the body without parameters, in lower case;
             empty if not stated.
+        framing: How the end of the body is told.
     """
 
     status: int
@@ -152,6 +162,7 @@
     max_refusals: float | None = None
     limit: float | None = None
     content_type: str = ""
+    framing: BodyFraming = BodyFraming.LENGTH
 
 
 class FailureKind(enum.Enum):
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -11,6 +11,7 @@
     ExchangeTools,
     RequestContext,
     close_if_open,
+    framing_of,
 )
 from amaranthlug.protocol.routing.messages import (
     AnswerWriter,
@@ -119,7 +120,13 @@
             close_if_open(reply or sent)
             tools.health.record_end(server)
             self.release_room(server)
-            self.record_attempt(server, started_at, outcome, error=error)
+            self.record_attempt(
+                server,
+                started_at,
+                outcome,
+                error=error,
+                framing=framing_of(reply),
+            )
 
     def wait_head(self, server: ServerEntry, sent: SentCall) -> UpstreamReply:
         """Waits for a usable response head.
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -11,6 +11,7 @@
     HandedCall,
     RequestContext,
     close_if_open,
+    framing_of,
 )
 from amaranthlug.protocol.routing.messages import (
     AnswerWriter,
@@ -192,6 +193,7 @@
                 model=call.model,
                 head_ms=head_ms,
                 confidence=reply.head.confidence if reply else None,
+                framing=framing_of(reply),
                 events=self.splitter.events - events,
             )
 
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
@@ -9,6 +9,7 @@
 import gevent
 import httptools
 
+from amaranthlug.protocol.routing.messages import BodyFraming
 from amaranthlug.transport.routing.response_limits import (
     BrokenResponseError,
     ResponseMeter,
@@ -61,7 +62,7 @@
         body_bytes: Bytes of the body in the last bytes that were fed.
         ends_with_head: The response answers HEAD, so it has no body.
         in_message: A response has begun and is not complete.
-        until_close: The body ends when the server closes the connection.
+        framing: How the end of the last body is told.
     """
 
     def __init__(self) -> None:
@@ -76,7 +77,7 @@
         self.ends_with_head = False
         self.in_message = False
         self.in_body = False
-        self.until_close = False
+        self.framing = BodyFraming.LENGTH
 
     def feed(self, data: bytes) -> None:
         """Parses received bytes.
@@ -127,11 +128,14 @@
                 "unknown transfer coding; the server may use only chunks"
             )
         self.in_body = True
-        self.until_close = (
-            status not in NO_BODY
-            and head.get("content-length") is None
-            and not codings
-        )
+        self.framing = BodyFraming.CHUNKS if codings else BodyFraming.LENGTH
+        if not (
+            self.ends_with_head
+            or status in NO_BODY
+            or codings
+            or head.get("content-length") is not None
+        ):
+            self.framing = BodyFraming.CLOSE
         self.items.append(head)
         if self.ends_with_head:
             self.items.append(None)
@@ -321,7 +325,7 @@
         self.unyielded_bytes += len(data)
         if not data:
             self.reusable = False
-            if not (parser.in_body and parser.until_close):
+            if not parser.in_body or parser.framing is not BodyFraming.CLOSE:
                 raise BrokenResponseError(
                     "the connection ended before the response"
                 )
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -340,6 +340,7 @@
                     give_up_at - time.monotonic()
                 )
                 head = self.pool.codec.decode(response)
+                head.framing = self.connection.parser.framing
                 if self.is_own_response(head):
                     return Reply(self, head, response)
                 self.skip_response(give_up_at)
