Say on a path through another node how the server's bytes ended

Cause: a path passed the bytes of the server without framing, so that the end of the other node's connection could not be told from that of an answer without a length. The kernel of a killed process closes in order.

Ruled out: answers in chunks or with a length (0 torn); the servers, whose runs were cancelled by the router; the reset that pass_answer made, which needs a process that lives.

Change: frames with a closing one; the node of the path checks that the server which closed still serves. Nodes of the build before get a reset. A lost path does not count against the server.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -240,7 +240,9 @@
                 result = self.attempt(server)
             except UpstreamCallError as failure:
                 self.may_have_run = self.may_have_run or failure.may_have_run
-                if not self.made_progress:
+                if failure.path_lost:
+                    self.tried.discard(server.instance_key)
+                elif not self.made_progress:
                     self.tools.crashes.record_failure(
                         server, self.subjects, failure.kind, self.began_at
                     )
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -182,12 +182,21 @@
 
 
 class UpstreamCallError(Exception):
-    """An attempt that gave no usable answer."""
+    """An attempt that gave no usable answer.
 
-    def __init__(self, kind: FailureKind, message: str):
-        """Creates the error; `kind` decides whether a retry is safe."""
+    Attributes:
+        kind: Decides whether a retry is safe.
+        path_lost: The path through another node was lost, so that the failure
+            tells nothing of the server.
+    """
+
+    def __init__(
+        self, kind: FailureKind, message: str, path_lost: bool = False
+    ):
+        """Creates the error of an attempt."""
         super().__init__(message)
         self.kind = kind
+        self.path_lost = path_lost
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -227,6 +227,6 @@
         """Records a failed attempt in the server's health."""
         if failure.kind is FailureKind.TIMEOUT:
             self.record_result(server, bad=False, is_late=True)
-        else:
+        elif not failure.path_lost:
             # A broken connection is a fault of the server, not of its version.
             self.tools.health.record_outcome(server, True)
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/server_paths.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/server_paths.py
@@ -81,9 +81,12 @@
 
     Attributes:
         instance: Name of the server's instance.
+        framed: The node that asks reads frames, which say how the connection
+            to the server ended.
     """
 
     instance: str
+    framed: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -317,6 +320,21 @@
         if own is PathState.OPEN:
             self.links.record_opened(server)
             return own
+        state = self.ask_others(server)
+        if state is PathState.OPEN:
+            self.record_lost(server, own is PathState.UNKNOWN)
+        if state is not None:
+            return state
+        if (
+            own is PathState.UNKNOWN
+            or not self.choice.has_peers()
+            or self.has_contact(server)
+        ):
+            return own
+        return PathState.UNKNOWN
+
+    def ask_others(self, server: ServerEntry) -> PathState | None:
+        """Returns what other nodes find of a server, None if none can tell."""
         tried: set[str] = set()
         for _ in range(MAX_WITNESSES):
             node = self.choice.pick(tried)
@@ -328,18 +346,9 @@
             except OSError as error:
                 self.record_refusal(node, error)
                 continue
-            if report.state is PathState.OPEN:
-                self.record_lost(server, own is PathState.UNKNOWN)
-                return PathState.OPEN
-            if report.is_end:
+            if report.state is PathState.OPEN or report.is_end:
                 return report.state
-        if (
-            own is PathState.UNKNOWN
-            or not self.choice.has_peers()
-            or self.has_contact(server)
-        ):
-            return own
-        return PathState.UNKNOWN
+        return None
 
     def report(self, server: ServerEntry) -> PathReport:
         """Returns what this node's own links show of a server."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -203,7 +203,7 @@
         """Records a failed attempt in the health of server and version."""
         if failure.kind is FailureKind.FAILED:
             self.record_result(server, bad=True)
-        elif failure.kind is not FailureKind.WEAK:
+        elif failure.kind is not FailureKind.WEAK and not failure.path_lost:
             # A broken connection is a fault of the server, not of its version.
             self.tools.health.record_outcome(server, True)
 
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -315,14 +315,15 @@
             self.metrics,
         )
         self.paths.listed = self.servers.listed
+        self.upstreams = UpstreamPool(headers, self.paths)
         self.peer_paths = PeerPaths(
             self.paths,
             self.servers,
             self.fleet.nodes,
             lambda: self.leaving,
+            self.upstreams.is_still_serving,
             path_limit(settings.max_descriptors),
         )
-        self.upstreams = UpstreamPool(headers, self.paths)
         self.statements = ServerStatements(boot_seconds)
         self.grants = GrantOwners(
             settings.name,
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
@@ -10,11 +10,15 @@
 import httptools
 
 from amaranthlug.protocol.routing.messages import BodyFraming
+from amaranthlug.transport.routing.path_frames import FramedReader
 from amaranthlug.transport.routing.response_limits import (
     BrokenResponseError,
     ResponseMeter,
 )
-from amaranthlug.transport.routing.sockets import connect, is_readable
+from amaranthlug.transport.routing.sockets import (
+    connect,
+    is_readable,
+)
 
 READ_BYTES = 65_536
 """Most bytes per read of a socket."""
@@ -165,6 +169,7 @@
     def __init__(self, sock: socket.socket):
         """Wraps a connected socket."""
         self.sock = sock
+        self.framed: FramedReader | None = None
         self.peer: str | None = None
         self.receive_close: Callable[[], object] | None = None
         self.parser = ResponseParser()
@@ -184,6 +189,23 @@
         """
         return cls(connect(address, timeout_s, source_host))
 
+    @property
+    def is_framed(self) -> bool:
+        """Returns whether the other node says how the connection ends."""
+        return self.framed is not None
+
+    def lead_through(self, peer: str, is_framed: bool) -> None:
+        """Makes the connection to a node a path through it.
+
+        Args:
+            peer: Name of the node.
+            is_framed: It passes the bytes of the server in frames.
+        """
+        self.peer = peer
+        self.reusable = False
+        if is_framed:
+            self.framed = FramedReader(self.sock)
+
     def is_open_and_idle(self) -> bool:
         """Returns whether a connection is open and has nothing to read."""
         return (
@@ -196,8 +218,10 @@
         """Returns whether an unused connection is still open after a while."""
         self.sock.settimeout(wait_s)
         try:
+            self.reusable = False
             return bool(self.sock.recv(1))
         except TimeoutError:
+            self.reusable = True  # No byte was read.
             return True
         except OSError:
             return False  # It was reset.
@@ -321,7 +345,7 @@
             self.unyielded_bytes = 0
             gevent.sleep(0)
         self.sock.settimeout(timeout_s)
-        data = self.sock.recv(READ_BYTES)
+        data = (self.framed or self.sock).recv(READ_BYTES)
         self.unyielded_bytes += len(data)
         if not data:
             self.reusable = False
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -33,6 +33,7 @@
     ClaimRequest,
     SessionOwners,
 )
+from amaranthlug.protocol.routing.messages import PathState
 from amaranthlug.protocol.routing.server_paths import (
     PathReport,
     PathRequest,
@@ -50,6 +51,7 @@
 )
 from amaranthlug.transport.routing.peer_paths import (
     CHECK_PATH,
+    FRAMING_HEADER,
     NO_PATH_STATUS,
     OPEN_PATH,
     PeerPaths,
@@ -253,7 +255,8 @@
             OSError: The node could not be reached or its response is invalid.
         """
         address = node.peer_address
-        body = msgspec.json.encode(PathRequest(server.instance_name))
+        request = PathRequest(server.instance_name, framed=True)
+        body = msgspec.json.encode(request)
         headers = [("Host", address), ("Content-Length", str(len(body)))]
         connection = self.open_connection(address, timeout_s)
         try:
@@ -269,14 +272,19 @@
                 )
             if head.status != 200:
                 raise PeerPathError(f"node {node.node} answered {head.status}")
+            if not connection.is_reusable():
+                raise PeerPathError(
+                    "the server sent or closed before the request",
+                    PathReport(PathState.UNKNOWN, has_contact=True),
+                )
         except UNREADABLE as error:
             connection.close()
             raise OSError(f"malformed response of a node: {error}") from error
         except BaseException:
             connection.close()
             raise
-        connection.peer = node.node
-        connection.reusable = False
+        is_framed = head.get(FRAMING_HEADER.lower()) is not None
+        connection.lead_through(node.node, is_framed)
         return connection
 
     def post(
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_paths.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_paths.py
@@ -3,7 +3,6 @@
 import functools
 import logging
 import socket
-import struct
 from collections.abc import Callable
 from typing import Protocol
 
@@ -27,14 +26,24 @@
     IncomingRequest,
     Responder,
 )
+from amaranthlug.transport.routing.path_frames import (
+    FramedWriter,
+    PathWriter,
+    UnframedWriter,
+)
 from amaranthlug.transport.routing.sockets import split_address
 
 OPEN_PATH = "/peer/open-path"
 CHECK_PATH = "/peer/check-path"
 NO_PATH_STATUS = 502
 """Status of a node that could not connect; the body is its report."""
+FRAMING_HEADER = "Path-Framing"
+"""Header of an answer after which the bytes of the server come in frames."""
 ESTABLISHED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 """Answer after which the connection carries the bytes of the server."""
+ESTABLISHED_FRAMED = ESTABLISHED.replace(
+    b"\r\n\r\n", f"\r\n{FRAMING_HEADER}: 1\r\n\r\n".encode()
+)
 NOT_USED = PathReport(PathState.UNKNOWN, has_contact=True)
 """Report on a server that this node does not know or no longer uses."""
 CLOSE_WAIT_S = 1.0
@@ -82,6 +91,7 @@
         servers: UsableServers,
         nodes: Callable[[], list[NodeEntry]],
         is_leaving: Callable[[], bool],
+        is_serving: Callable[[ServerEntry], bool],
         limit: int,
     ):
         """Creates the paths of a node, none of which is open.
@@ -91,12 +101,15 @@
             servers: Knows the servers that may be used.
             nodes: Returns the live nodes, which alone may ask.
             is_leaving: Returns whether this node stops.
+            is_serving: Returns whether a server that closed a connection still
+                serves.
             limit: Most paths that are open at a time.
         """
         self.paths = paths
         self.servers = servers
         self.nodes = nodes
         self.is_leaving = is_leaving
+        self.is_serving = is_serving
         self.limit = limit
         self.running = 0
 
@@ -132,7 +145,7 @@
             self.running -= 1
 
         responder.take_over = functools.partial(
-            self.pass_bytes, connection.sock
+            self.pass_bytes, server, connection.sock, request.framed
         )
 
     def is_node(self, sock: socket.socket) -> bool:
@@ -145,14 +158,18 @@
 
     def pass_bytes(
         self,
+        server: ServerEntry,
         server_sock: socket.socket,
+        is_framed: bool,
         node_sock: socket.socket,
         received: bytes,
     ) -> None:
         """Passes bytes until one side ends; then ends the other likewise.
 
         Args:
+            server: The server.
             server_sock: Connection to the server.
+            is_framed: The other node reads frames.
             node_sock: Connection of the other node.
             received: Bytes that were already read from it.
         """
@@ -161,8 +178,10 @@
         try:
             node_sock.settimeout(None)
             server_sock.settimeout(None)
-            node_sock.sendall(ESTABLISHED)
-            answering = gevent.spawn(pass_answer, server_sock, node_sock)
+            node_sock.sendall(ESTABLISHED_FRAMED if is_framed else ESTABLISHED)
+            answering = gevent.spawn(
+                self.pass_answer, server, server_sock, is_framed, node_sock
+            )
             pass_request(node_sock, server_sock, received, answering)
         except OSError as error:
             log.debug("a path for another node ended: %s", error)
@@ -172,6 +191,38 @@
                 answering.kill()
             server_sock.close()
 
+    def pass_answer(
+        self,
+        server: ServerEntry,
+        server_sock: socket.socket,
+        is_framed: bool,
+        node_sock: socket.socket,
+    ) -> None:
+        """Passes the bytes of a server and says how they ended."""
+        writer: PathWriter = (
+            FramedWriter(node_sock) if is_framed else UnframedWriter(node_sock)
+        )
+        try:
+            while data := receive(server_sock):
+                writer.send(data)
+            writer.end(data is not None and self.is_serving(server))
+            # Closing with unread bytes would reset the connection before the
+            # other node has read the answer.
+            gevent.sleep(CLOSE_WAIT_S)
+        except OSError as error:
+            log.debug("a path for another node ended: %s", error)
+        finally:
+            node_sock.close()
+
+
+def receive(server_sock: socket.socket) -> bytes | None:
+    """Returns bytes of a server, none at its end, None if it broke."""
+    try:
+        return server_sock.recv(READ_BYTES)
+    except OSError as error:
+        log.debug("the connection to a server broke: %s", error)
+        return None
+
 
 def refuse(responder: Responder, report: PathReport | None) -> None:
     """Answers that this node opens no path to a server."""
@@ -199,29 +250,3 @@
             answering.join(CLOSE_WAIT_S)
             return
         data = node_sock.recv(READ_BYTES)
-
-
-def pass_answer(server_sock: socket.socket, node_sock: socket.socket) -> None:
-    """Copies the bytes of a server; a reset is passed on as a reset.
-
-    The other node could take the end of the connection for that of an answer.
-    """
-    try:
-        while data := server_sock.recv(READ_BYTES):
-            node_sock.sendall(data)
-        node_sock.shutdown(socket.SHUT_WR)
-    except OSError:
-        reset(node_sock)
-    else:
-        # Closing with unread bytes would reset the connection before the other
-        # node has read the answer.
-        gevent.sleep(CLOSE_WAIT_S)
-    finally:
-        node_sock.close()
-
-
-def reset(sock: socket.socket) -> None:
-    """Makes the close of a connection a reset."""
-    sock.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/sockets.py
@@ -80,6 +80,15 @@
     return sock
 
 
+def is_time_limit(error: OSError) -> bool:
+    """Returns whether a time limit of this process ended a wait.
+
+    The kernel's time-out of a dead connection has the same type, but ends the
+    connection: the next read would return its end.
+    """
+    return isinstance(error, TimeoutError) and error.errno is None
+
+
 def is_connected(sock: socket.socket) -> bool:
     """Returns whether a connection that was begun is established."""
     try:
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -11,13 +11,17 @@
 
 from amaranthlug.coordination.boot_clock import boot_seconds
 from amaranthlug.protocol.routing.messages import (
+    BodyFraming,
     FailureKind,
     PathState,
     ReplyHead,
     UpstreamCall,
     UpstreamCallError,
 )
-from amaranthlug.protocol.routing.server_paths import ServerPaths
+from amaranthlug.protocol.routing.server_paths import (
+    DIRECT_WAIT_S,
+    ServerPaths,
+)
 from amaranthlug.state.routing.servers import ServerEntry
 from amaranthlug.transport.routing.http_client import (
     Headers,
@@ -25,6 +29,7 @@
     ResponseHead,
     render_request,
 )
+from amaranthlug.transport.routing.path_frames import PathBrokenError
 from amaranthlug.transport.routing.response_limits import ResponseLimitError
 from amaranthlug.transport.routing.sockets import CONNECT_TIMEOUT_S
 
@@ -46,6 +51,11 @@
 CLOSE_WAIT_S = 0.1
 """Time in which a forwarder closes a connection that it cannot pass on, in
 seconds; more than 20 round trips."""
+END_WAIT_S = 0.02
+"""Time for which a new connection must stay open to show that a server that
+closed another one still serves, in seconds; some round trips."""
+END_CHECK_S = 0.5
+"""Longest time in which that is found out, in seconds."""
 MAX_SKIPPED_RESPONSES = 3
 """Responses to other requests that one request skips on its connection."""
 
@@ -203,8 +213,25 @@
         A connection that is accepted may still be closed at once, by a
         forwarder before a process that is gone.
         """
+        return self.look_within(server, CONNECT_TIMEOUT_S, CLOSE_WAIT_S)
+
+    def look_within(
+        self,
+        server: ServerEntry,
+        connect_s: float,
+        close_wait_s: float,
+        idle_s: float = 0.0,
+    ) -> PathState:
+        """Opens a connection over this node's own link.
+
+        Args:
+            server: The server.
+            connect_s: Longest wait for the connection, in seconds.
+            close_wait_s: Time for which it must stay open, in seconds.
+            idle_s: Time for which it is kept for a next request, in seconds.
+        """
         try:
-            connection = self.paths.dial(server.address, CONNECT_TIMEOUT_S)
+            connection = self.paths.dial(server.address, connect_s)
         except ConnectionRefusedError:
             return PathState.REFUSED
         except OSError as error:
@@ -215,12 +242,59 @@
                 extra={"event": "server_unknown", "server": server.server_id},
             )
             return PathState.UNKNOWN
+        is_open = False
         try:
-            is_open = connection.stays_open(CLOSE_WAIT_S)
+            is_open = connection.stays_open(close_wait_s)
         finally:
-            connection.close()
+            if is_open and idle_s > 0 and connection.is_reusable():
+                self.put_idle(server.instance_key, connection, idle_s)
+            else:
+                connection.close()
         return PathState.OPEN if is_open else PathState.CLOSED
 
+    def is_still_serving(self, server: ServerEntry, idle_s: float = 0) -> bool:
+        """Returns whether a server that closed a connection still serves.
+
+        The kernel closes the connections of a process that has ended in the
+        same way. What new connections show of the server tells the two apart.
+
+        Args:
+            server: The server.
+            idle_s: Time for which a new connection is kept, in seconds.
+        """
+        state: PathState | None = None
+        with gevent.Timeout(END_CHECK_S, False):
+            state = self.look_within(
+                server, DIRECT_WAIT_S, END_WAIT_S, max(idle_s, 0)
+            )
+            if state is PathState.UNKNOWN:
+                state = self.paths.ask_others(server)
+        # A server at its limit closes new connections, too.
+        is_serving = state is PathState.OPEN or (
+            state is PathState.CLOSED and self.has_open_idle(server)
+        )
+        kind = "confirmed" if is_serving else "unconfirmed"
+        self.paths.metrics.incr(f"answer_ends.{kind}")
+        if not is_serving:
+            log.info(
+                "server %s closed a connection and does not serve as far as "
+                "this node can tell",
+                server.server_id,
+                extra={
+                    "event": "answer_end_unconfirmed",
+                    "server": server.server_id,
+                    "state": state.value if state else None,
+                },
+            )
+        return is_serving
+
+    def has_open_idle(self, server: ServerEntry) -> bool:
+        """Returns whether an idle connection to a server is still open."""
+        return any(
+            idle.connection.is_open_and_idle()
+            for idle in self.idle.get(server.instance_key, ())
+        )
+
     def connect(self, call: UpstreamCall) -> HttpConnection:
         """Opens a connection to the server of a call.
 
@@ -389,7 +463,9 @@
                 extra={"event": "response_limit", "server": server_id},
             )
         return UpstreamCallError(
-            FailureKind.BROKEN, f"reading the response {part} failed: {error}"
+            FailureKind.BROKEN,
+            f"reading the response {part} failed: {error}",
+            path_lost=isinstance(error, PathBrokenError),
         )
 
     def close(self) -> None:
@@ -417,11 +493,36 @@
             UpstreamCallError: The connection failed or the body is malformed.
         """
         try:
-            return self.sent.connection.read_body(timeout_s)
+            data = self.sent.connection.read_body(timeout_s)
         except TimeoutError:
             raise
         except OSError as error:
             raise self.sent.broken_error("body", error) from error
+        if data is None and self.head.framing is BodyFraming.CLOSE:
+            self.check_end()
+        return data
+
+    def check_end(self) -> None:
+        """Checks an end of the connection that is to be that of the body.
+
+        Raises:
+            UpstreamCallError: Nothing shows that the server ended the body.
+        """
+        connection = self.sent.connection
+        if connection.is_framed:
+            return  # The node of the path has checked it.
+        if connection.peer is not None:
+            raise UpstreamCallError(
+                FailureKind.BROKEN,
+                "the path ended, which does not show that the answer has",
+                path_lost=True,
+            )
+
+    def idle_s(self) -> float:
+        """Returns for how long an idle connection is kept, in seconds."""
+        if self.head.idle_s is None:
+            return DEFAULT_IDLE_S
+        return min(DEFAULT_IDLE_S, self.head.idle_s - IDLE_MARGIN_S)
 
     def close(self) -> None:
         """Ends the exchange; pools the connection after a complete body."""
@@ -429,9 +530,7 @@
         if not connection.is_reusable():
             connection.close()
             return
-        idle_s = DEFAULT_IDLE_S
-        if self.head.idle_s is not None:
-            idle_s = min(idle_s, self.head.idle_s - IDLE_MARGIN_S)
+        idle_s = self.idle_s()
         if idle_s <= 0:
             connection.close()
             return
--- a/test/test_torn_answers.py
+++ b/test/test_torn_answers.py
@@ -1,7 +1,42 @@
 """Tests of answers whose end must be known before a caller may take it."""
 
+import signal
+
+import gevent
 import pytest
+from _common import ROOT
+from _endless import ScriptedSocket
+from _mixed_builds import extract_build
 from _platform_fleet import PlatformFleet, stream_headers
+from _torn_answers import (
+    ANSWER_S,
+    CALLS_EACH,
+    GRACE_S,
+    REPEATABLE,
+    TARGETS,
+    TornFleet,
+)
+
+from amaranthlug.transport.routing.path_frames import (
+    BROKEN,
+    CLOSED,
+    HEADER,
+    FramedReader,
+    PathBrokenError,
+)
+
+BUILD_WITHOUT_FRAMES = "30d0f94"
+ANSWERS = 20
+MAX_ANSWER_S = 0.3
+"""Longest time of a sound answer, in seconds, on a busy machine."""
+FRAMES = (
+    HEADER.pack(6)
+    + b"answer"
+    + HEADER.pack(6)
+    + b" of it"
+    + HEADER.pack(CLOSED)
+)
+"""What a path passes of an answer that the server has ended."""
 
 FRAMINGS = {
     "/safe/x": ("length", {}),
@@ -31,3 +66,90 @@
     assert fleet.call(target, headers=headers).whole
     attempt = fleet.lines.requests[-1]["attempts"][-1]
     assert (attempt["framing"], attempt["peer"]) == (framing, None)
+
+
+@pytest.fixture
+def torn_fleet(tmp_path):
+    """Returns a function that starts node processes; ends them afterwards."""
+    running = []
+
+    def start(**values):
+        running.append(TornFleet(tmp_path, **values))
+        return running[-1]
+
+    yield start
+    for each in running:
+        each.stop()
+
+
+# Guards against review/1: a path through a node that was killed, or ended at
+# its grace, made a torn answer a complete one.
+@pytest.mark.processes
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_lost_path_ends_no_answer(torn_fleet, number):
+    """All kinds of answers without a length; the servers go on."""
+    fleet = torn_fleet()
+    fleet.begin_calls_through_peers()
+    gevent.sleep(ANSWER_S - GRACE_S - 0.7)
+    for node in fleet.fleet.nodes[1:]:
+        node.send(number)
+    fleet.finish()
+    assert fleet.paths_opened() >= len(TARGETS) * CALLS_EACH
+    assert fleet.torn() == []
+    assert fleet.most_runs() == 1
+    assert fleet.served(REPEATABLE) == len(REPEATABLE) * CALLS_EACH
+
+
+# Guards against review/1 the other way: an end that is one is passed on.
+@pytest.mark.processes
+def test_answer_through_a_peer_is_whole_at_its_end(torn_fleet):
+    """The node of the path says that the server closed it."""
+    fleet = torn_fleet()
+    fleet.begin_calls_through_peers()
+    fleet.finish()
+    assert fleet.paths_opened() >= len(TARGETS) * CALLS_EACH
+    assert fleet.served() == len(TARGETS) * CALLS_EACH
+
+
+# Guards against issue 43 side by side with review/1: one build frames the bytes
+# of a path and the other does not.
+@pytest.mark.processes
+@pytest.mark.parametrize("is_former", [(True, False), (False, True)])
+def test_lost_path_between_builds_ends_no_answer(
+    torn_fleet, tmp_path, is_former
+):
+    """The first node or the nodes of its paths run the build before."""
+    former = extract_build(BUILD_WITHOUT_FRAMES, tmp_path / "former")
+    first, others = ((former if each else ROOT) for each in is_former)
+    fleet = torn_fleet(builds=(first, others, others))
+    fleet.begin_calls_through_peers()
+    gevent.sleep(ANSWER_S - GRACE_S - 0.7)
+    for node in fleet.fleet.nodes[1:]:
+        node.send(signal.SIGKILL)
+    fleet.finish()
+    assert fleet.paths_opened() >= len(TARGETS) * CALLS_EACH
+    assert fleet.torn() == []
+    assert fleet.most_runs() == 1
+
+
+# Guards against torn answers that the frames of a path let through.
+@pytest.mark.parametrize("cut_at", range(len(FRAMES)))
+def test_frames_tell_a_lost_path_from_an_end(cut_at):
+    """Each cut raises an error; the whole is the bytes of the server."""
+    reader = FramedReader(ScriptedSocket([FRAMES[:cut_at]]))
+    with pytest.raises(PathBrokenError):
+        while reader.recv(4):
+            pass
+    blocks = [FRAMES[:cut_at], FRAMES[cut_at:]]
+    whole = FramedReader(ScriptedSocket([block for block in blocks if block]))
+    assert b"".join(iter(lambda: whole.recv(4), b"")) == b"answer of it"
+    assert whole.recv(4) == b""
+
+
+def test_frames_tell_a_broken_server_from_a_lost_path():
+    """The other node has seen the reset, so the server is to blame."""
+    blocks = [FRAMES[:-4] + HEADER.pack(BROKEN)]
+    reader = FramedReader(ScriptedSocket(blocks))
+    assert reader.recv(100) + reader.recv(100) == b"answer of it"
+    with pytest.raises(ConnectionResetError):
+        reader.recv(100)
