Check that a server serves before its close ends an answer

Cause: an answer without a length ends with its connection, and the kernel of a server that ended closes that in order.

Change: the end counts if a new connection to the server is accepted and stays open for 0.02 s; the next request uses it. Otherwise the answer was cut.

--- a/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/upstreams.py
@@ -508,7 +508,7 @@
         Raises:
             UpstreamCallError: Nothing shows that the server ended the body.
         """
-        connection = self.sent.connection
+        connection, server = self.sent.connection, self.sent.call.server
         if connection.is_framed:
             return  # The node of the path has checked it.
         if connection.peer is not None:
@@ -517,6 +517,12 @@
                 "the path ended, which does not show that the answer has",
                 path_lost=True,
             )
+        idle_s = 0.0 if self.head.leaving else self.idle_s()
+        if not self.sent.pool.is_still_serving(server, idle_s):
+            raise UpstreamCallError(
+                FailureKind.BROKEN,
+                "the connection ended, and the server seems to have",
+            )
 
     def idle_s(self) -> float:
         """Returns for how long an idle connection is kept, in seconds."""
--- a/test/test_torn_answers.py
+++ b/test/test_torn_answers.py
@@ -1,13 +1,14 @@
 """Tests of answers whose end must be known before a caller may take it."""
 
 import signal
+import time
 
 import gevent
 import pytest
 from _common import ROOT
 from _endless import ScriptedSocket
 from _mixed_builds import extract_build
-from _platform_fleet import PlatformFleet, stream_headers
+from _platform_fleet import PlatformFleet, event_ids, stream_headers
 from _torn_answers import (
     ANSWER_S,
     CALLS_EACH,
@@ -132,6 +133,68 @@
     assert fleet.most_runs() == 1
 
 
+# Guards against the operators' report of issue 61 (ORDER): a server that ended
+# made a torn stream a complete one, since its kernel closes in order.
+@pytest.mark.processes
+@pytest.mark.parametrize("way", ["direct", "link", "peer"])
+def test_ended_server_ends_no_answer(torn_fleet, way):
+    """All kinds of answers without a length; another server goes on."""
+    fleet = torn_fleet(behind_links=way != "direct")
+    if way == "peer":
+        fleet.begin_calls_through_peers()
+    else:
+        fleet.begin_calls()
+    gevent.sleep(ANSWER_S / 2)
+    crashed = fleet.fleet.servers[0]
+    assert crashed.running > 0
+    crashed.crash()
+    fleet.finish()
+    assert fleet.torn() == []
+    assert fleet.most_runs() == 1
+    assert fleet.served(REPEATABLE) == len(REPEATABLE) * CALLS_EACH
+
+
+# Guards against issue 61 the other way: a whole answer of a server that leaves
+# and ends behind it is not lost where the request may be repeated.
+@pytest.mark.parametrize("target", ["/safe/x", "/stream/x"])
+def test_last_answer_of_a_server_that_leaves_is_whole(fleet, target):
+    """Another server repeats it, or says that nothing is left of it."""
+    headers = () if target == "/safe/x" else stream_headers()
+    leaving = fleet.servers[0]
+    for server in fleet.servers:
+        server.faults.until_close = True
+    leaving.faults.leaving = True
+    leaving.faults.ends_after_answer = True
+    for number in range(50):
+        answer = fleet.call(target, request_id=f"r{number}", headers=headers)
+        assert (answer.status, answer.whole) == (200, True)
+        if target == "/stream/x":
+            assert event_ids(answer.body) == [1, 2, 3, 4, 5]
+        else:
+            assert answer.body == b"GET /safe/x"
+        if not leaving.is_up:
+            return
+    raise AssertionError("the server received no request")
+
+
+# Guards against a check of ends that costs callers or servers more than the
+# connection that the answer has used up.
+def test_end_of_a_sound_answer_costs_no_further_connection(fleet):
+    """The connection that shows that the server serves is used next."""
+    for server in fleet.servers:
+        server.faults.until_close = True
+    node = fleet.nodes[0]
+    dial, dialled = node.paths.dial, []
+    node.paths.dial = lambda *where: dialled.append(where) or dial(*where)
+    for number in range(ANSWERS):
+        started_at = time.monotonic()
+        answer = fleet.call("/safe/x", request_id=f"r{number}")
+        assert (answer.status, answer.whole) == (200, True)
+        assert time.monotonic() - started_at < MAX_ANSWER_S
+    assert len(dialled) <= ANSWERS + len(fleet.servers)
+    assert sum(server.runs.total() for server in fleet.servers) == ANSWERS
+
+
 # Guards against torn answers that the frames of a path let through.
 @pytest.mark.parametrize("cut_at", range(len(FRAMES)))
 def test_frames_tell_a_lost_path_from_an_end(cut_at):
