Take the kernel's time-out of a connection for its end

What callers could see: a torn answer without a length that looks complete, over a connection whose host was cut off.

Cause: ETIMEDOUT raises the same type as the time limit of a read. It was taken for a pause; the next read returns the end of the connection, which was taken for that of the body. Found by reading; not shown in a run of processes.

Change: a time-out with an error number is a broken connection.

Before: test_time_out_of_the_kernel_ends_no_answer failed (TimeoutError went through as a pause). After: passes.

--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
@@ -18,6 +18,7 @@
 from amaranthlug.transport.routing.sockets import (
     connect,
     is_readable,
+    is_time_limit,
 )
 
 READ_BYTES = 65_536
@@ -345,7 +346,15 @@
             self.unyielded_bytes = 0
             gevent.sleep(0)
         self.sock.settimeout(timeout_s)
-        data = (self.framed or self.sock).recv(READ_BYTES)
+        try:
+            data = (self.framed or self.sock).recv(READ_BYTES)
+        except TimeoutError as error:
+            if is_time_limit(error):
+                raise
+            self.reusable = False
+            raise BrokenResponseError(
+                f"the connection is dead: {error}"
+            ) from error
         self.unyielded_bytes += len(data)
         if not data:
             self.reusable = False
--- a/test/test_torn_answers.py
+++ b/test/test_torn_answers.py
@@ -1,12 +1,13 @@
 """Tests of answers whose end must be known before a caller may take it."""
 
+import errno
 import signal
 import time
 
 import gevent
 import pytest
 from _common import ROOT
-from _endless import ScriptedSocket
+from _endless import ScriptedSocket, make_connection, read_response
 from _mixed_builds import extract_build
 from _platform_fleet import PlatformFleet, event_ids, stream_headers
 from _torn_answers import (
@@ -25,6 +26,7 @@
     FramedReader,
     PathBrokenError,
 )
+from amaranthlug.transport.routing.response_limits import BrokenResponseError
 
 BUILD_WITHOUT_FRAMES = "30d0f94"
 ANSWERS = 20
@@ -195,6 +197,18 @@
     assert sum(server.runs.total() for server in fleet.servers) == ANSWERS
 
 
+# Guards against a torn answer over a dead connection: the kernel's time-out was
+# taken for that of a wait, and the end that the next read returns for the end
+# of the body.
+def test_time_out_of_the_kernel_ends_no_answer():
+    """It is a broken connection, not a pause."""
+    head = b"HTTP/1.1 200 OK\r\n\r\nhalf of the"
+    dead = TimeoutError(errno.ETIMEDOUT, "Connection timed out")
+    connection = make_connection([head, dead])
+    with pytest.raises(BrokenResponseError, match="dead"):
+        read_response(connection)
+
+
 # Guards against torn answers that the frames of a path let through.
 @pytest.mark.parametrize("cut_at", range(len(FRAMES)))
 def test_frames_tell_a_lost_path_from_an_end(cut_at):
