Limit what all requests hold, and the headers of a response

Cause: each stream kept up to 1 MiB of an unfinished event, and each request an error body, which no common bound counted; heads were bounded in bytes, but a header of one byte takes some 150 bytes of memory.

Change: one account for what requests hold of answers, errors and events; at most 256 headers. An answer over the limit fails alone, against its server.

The settings have memory_mb (128 by default).

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -1,6 +1,7 @@
 """Retry and failure rules shared by plain and streamed exchanges."""
 
 import dataclasses
+import logging
 import random
 from collections.abc import Callable
 from typing import Any
@@ -10,9 +11,9 @@
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.coordination.routing.grant_owners import GrantOwners
 from amaranthlug.protocol.retry_budget import RetryBudget
-from amaranthlug.protocol.routing.answer_buffers import AnswerBuffers
 from amaranthlug.protocol.routing.crash_watch import CrashWatch
 from amaranthlug.protocol.routing.engine_queues import EngineQueues
+from amaranthlug.protocol.routing.held_bytes import HeldBytes, Holding
 from amaranthlug.protocol.routing.messages import (
     AnswerWriter,
     FailureKind,
@@ -70,6 +71,8 @@
 BLOCKED_PART_REASON = "poisoned_prompt_part"
 """Outcome of a request with a part of its prompt under which servers ended."""
 
+log = logging.getLogger(__name__)
+
 ExchangeResult = tuple[str, int] | LocalReply
 """Outcome and status of a delivered answer, or the node's own reply."""
 
@@ -87,7 +90,7 @@
         queues: Expected queueing delays at engines.
         crashes: Finds requests under which servers ended.
         speeds: Compares the speed of streams between versions.
-        buffers: Limits the memory of answers that are buffered.
+        held_bytes: Limits the memory of what requests hold.
         statements: Knows the servers that want no new requests.
         grants: Limits what all nodes together send to servers in need.
         grace: Says what may still be sent after a stop signal.
@@ -108,7 +111,7 @@
     queues: EngineQueues
     crashes: CrashWatch
     speeds: VersionSpeeds
-    buffers: AnswerBuffers
+    held_bytes: HeldBytes
     statements: ServerStatements
     grants: GrantOwners
     grace: GracePeriod
@@ -184,6 +187,7 @@
         self.granted: list[ServerEntry] = []
         self.granted_successor: ServerEntry | None = None
         self.denials = 0
+        self.holding = Holding(tools.held_bytes)
         self.attempts_sent = 0
         self.may_have_run = False
         self.retry_reserved = False
@@ -207,6 +211,7 @@
         try:
             return self.send_until_answered()
         finally:
+            self.holding.resize(0)
             for server in list(self.granted):
                 self.release_room(server)
 
@@ -269,6 +274,38 @@
         self.granted.append(server)
         return True
 
+    def hold(self, server: ServerEntry, size: int) -> None:
+        """Counts what is held of answers to this request.
+
+        Args:
+            server: Server that sent the last bytes.
+            size: All bytes that are held.
+
+        Raises:
+            UpstreamCallError: There is no room for them.
+        """
+        if self.holding.resize(size):
+            return
+        limit_bytes = self.tools.held_bytes.limit_bytes
+        self.tools.metrics.incr("held_bytes.refused")
+        log.warning(
+            "an answer of server %s has no room: all requests may hold %d "
+            "bytes",
+            server.server_id,
+            limit_bytes,
+            extra={
+                "event": "answer_has_no_room",
+                "server": server.server_id,
+                "held": self.holding.size,
+                "used": self.tools.held_bytes.used_bytes,
+            },
+        )
+        raise UpstreamCallError(
+            FailureKind.BROKEN,
+            f"answers take over {limit_bytes} bytes together; look for a "
+            "server that sends too much",
+        )
+
     def release_room(self, server: ServerEntry) -> None:
         """Gives the room of one attempt at a server back."""
         if server in self.granted:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/plain_exchange.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from amaranthlug.protocol.routing.answer_buffers import LARGE_ANSWER_BYTES
 from amaranthlug.protocol.routing.exchange import (
     CHECK_PERIOD_S,
     BaseExchange,
@@ -49,19 +48,6 @@
         """Creates an exchange that has sent nothing yet."""
         super().__init__(context, writer, tools)
         self.error_answer: tuple[ReplyHead, bytes] | None = None
-        self.held_bytes = 0
-
-    def run(self) -> ExchangeResult:
-        """Sends the request; frees its buffers once the answer was written."""
-        try:
-            return super().run()
-        finally:
-            self.release()
-
-    def release(self, keep: int = 0) -> None:
-        """Frees the bytes of large answers but for `keep` of them."""
-        self.tools.buffers.give_back(self.held_bytes - keep)
-        self.held_bytes = keep
 
     def choose(self, candidates: list[ServerEntry]) -> ServerEntry | None:
         """Returns a server for the next attempt, None if there is none."""
@@ -101,7 +87,7 @@
         reply: UpstreamReply | None = None
         outcome = "caller_left"
         error: str | None = None
-        held_before = self.held_bytes
+        held_before = self.holding.size
         tools.health.record_start(server)
         try:
             sent = self.open(self.call_for(server))
@@ -113,7 +99,7 @@
             return reply.head, body
         except UpstreamCallError as failure:
             outcome, error = failure.kind.value, str(failure)
-            self.release(held_before)
+            self.holding.resize(held_before)
             self.record_failure(server, failure)
             raise
         finally:
@@ -179,6 +165,7 @@
         """
         chunks: list[bytes] = []
         size = 0
+        held_before = self.holding.size
         while True:
             chunk = self.wait(
                 server, reply.read, "response body did not go on in time"
@@ -190,25 +177,9 @@
                 raise UpstreamCallError(
                     FailureKind.BROKEN, "response body exceeds 8 MiB"
                 )
-            if size > LARGE_ANSWER_BYTES:
-                self.hold(len(chunk))
+            self.hold(server, held_before + size)
             chunks.append(chunk)
 
-    def hold(self, count: int) -> None:
-        """Counts bytes of a large answer.
-
-        Raises:
-            UpstreamCallError: The large answers of all requests take too much.
-        """
-        buffers = self.tools.buffers
-        if not buffers.take(count):
-            raise UpstreamCallError(
-                FailureKind.BROKEN,
-                f"large answers take over {buffers.limit_bytes} bytes; look "
-                "for a server that sends too much",
-            )
-        self.held_bytes += count
-
     def record_answer(
         self, server: ServerEntry, head: ReplyHead, started_at: float
     ) -> None:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -155,7 +155,6 @@
         ticket = tools.queues.record_send(server, call.model, tokens)
         timer = self.start_timer(server, call.model)
         try:
-            self.splitter.discard_incomplete()
             sent = sent or self.open(call)
             self.peer = sent.peer
             reply = reply or self.wait_head(server, sent, timer)
@@ -178,6 +177,8 @@
             return reply.head
         except UpstreamCallError as failure:
             outcome, error = failure.kind.value, str(failure)
+            self.splitter.discard_incomplete()
+            self.holding.resize(0)
             self.record_failure(server, failure)
             raise
         finally:
@@ -377,6 +378,7 @@
                 raise UpstreamCallError(
                     FailureKind.BROKEN, "body of the error exceeds 1 MiB"
                 )
+            self.hold(server, size)
             chunks.append(chunk)
         if self.is_streaming:
             raise UpstreamCallError(
@@ -508,6 +510,7 @@
                 raise UpstreamCallError(
                     FailureKind.BROKEN, str(error)
                 ) from error
+            self.hold(server, len(events) + len(self.splitter.incomplete))
             if not events:
                 incomplete_since = incomplete_since or self.tools.clock()
                 self.check_silence(server, incomplete_since, STALL_TIMEOUT_S)
@@ -520,6 +523,7 @@
                 self.writer.send_chunk(events)
             else:
                 self.start_stream(reply, events)
+            self.holding.resize(len(self.splitter.incomplete))
         if self.splitter.incomplete:
             raise UpstreamCallError(
                 FailureKind.BROKEN, "stream ended within an event"
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -62,10 +62,10 @@
 from amaranthlug.coordination.routing.topic_follower import TopicFollower
 from amaranthlug.coordination.timers import TimerService
 from amaranthlug.protocol.retry_budget import RetryBudget
-from amaranthlug.protocol.routing.answer_buffers import AnswerBuffers
 from amaranthlug.protocol.routing.crash_watch import CrashWatch
 from amaranthlug.protocol.routing.engine_queues import EngineQueues
 from amaranthlug.protocol.routing.exchange import ExchangeTools
+from amaranthlug.protocol.routing.held_bytes import HeldBytes
 from amaranthlug.protocol.routing.model_choice import ModelChoice
 from amaranthlug.protocol.routing.peer_choice import PeerChoice
 from amaranthlug.protocol.routing.placement import Placement
@@ -365,7 +365,7 @@
             speeds=VersionSpeeds(
                 boot_seconds, self.rollouts.target_of, self.rollouts.count
             ),
-            buffers=AnswerBuffers(),
+            held_bytes=HeldBytes.from_memory(settings.memory_mb),
             statements=self.statements,
             grants=self.grants,
             grace=self.grace,
--- a/packages/amaranthlug/src/amaranthlug/state/routing/settings.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/settings.py
@@ -76,6 +76,8 @@
         addresses: Addresses that the node listens on.
         store: `host:port` of the platform's store.
         max_descriptors: File descriptors that the process may open.
+        memory_mb: Memory that the process may use, in MiB; by default that of
+            the smallest VMs.
         processor: Processor of the VM, by which relays are chosen.
         bounds: Limits set by the deployment.
         log_level: Lowest level that is logged, such as `INFO`.
@@ -88,6 +90,7 @@
     addresses: NodeAddresses
     store: str
     max_descriptors: int = 1_024
+    memory_mb: float = 128.0
     processor: ProcessorLimits = dataclasses.field(
         default_factory=ProcessorLimits
     )
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_client.py
@@ -12,7 +12,9 @@
 from amaranthlug.protocol.routing.messages import BodyFraming
 from amaranthlug.transport.routing.path_frames import FramedReader
 from amaranthlug.transport.routing.response_limits import (
+    MAX_HEADERS,
     BrokenResponseError,
+    ResponseLimitError,
     ResponseMeter,
 )
 from amaranthlug.transport.routing.sockets import (
@@ -96,6 +98,8 @@
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             # The parser chains an error of its callbacks.
+            if isinstance(error.__context__, BrokenResponseError):
+                raise error.__context__ from None
             raise BrokenResponseError(
                 f"malformed HTTP response: {error.__context__ or error}"
             ) from error
@@ -114,7 +118,16 @@
         self.headers = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header."""
+        """Stores a header.
+
+        Raises:
+            ResponseLimitError: There are too many.
+        """
+        if len(self.headers) >= MAX_HEADERS:
+            raise ResponseLimitError(
+                f"over {MAX_HEADERS} headers; check what the server sends "
+                "instead of its answer"
+            )
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -219,13 +232,13 @@
         """Returns whether an unused connection is still open after a while."""
         self.sock.settimeout(wait_s)
         try:
-            self.reusable = False
-            return bool(self.sock.recv(1))
+            data = self.sock.recv(1)
         except TimeoutError:
-            self.reusable = True  # No byte was read.
             return True
         except OSError:
             return False  # It was reset.
+        self.reusable = False
+        return bool(data)
 
     def send(self, data: bytes, timeout_s: float) -> None:
         """Sends a complete request.
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/response_limits.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/response_limits.py
@@ -6,6 +6,9 @@
 FRAMING_PER_BODY_BYTE = 16
 """Bytes of framing allowed for each byte of the body; a chunk of one byte with
 a padded length takes 12."""
+MAX_HEADERS = 256
+"""Most headers of a response with its trailers; short ones take many times
+their bytes in memory."""
 MAX_SKIPPED_BYTES = 1 << 20
 """Most bytes of answers to other requests that one request skips."""
 
--- a/test/_streams.py
+++ b/test/_streams.py
@@ -8,9 +8,9 @@
 
 from amaranthlug.coordination.routing.grant_owners import GrantOwners
 from amaranthlug.protocol.retry_budget import RetryBudget
-from amaranthlug.protocol.routing.answer_buffers import AnswerBuffers
 from amaranthlug.protocol.routing.engine_queues import EngineQueues
 from amaranthlug.protocol.routing.exchange import ExchangeTools, RequestContext
+from amaranthlug.protocol.routing.held_bytes import HeldBytes
 from amaranthlug.protocol.routing.messages import ReplyHead
 from amaranthlug.protocol.routing.model_choice import ModelChoice
 from amaranthlug.protocol.routing.placement import Placement
@@ -156,7 +156,7 @@
             models=ModelChoice(),
             queues=queues,
             crashes=make_watch(),
-            buffers=AnswerBuffers(),
+            held_bytes=HeldBytes.from_memory(128),
             statements=statements,
             grants=make_grants(statements, clock),
             grace=GracePeriod(clock),
--- a/test/test_platform_endless.py
+++ b/test/test_platform_endless.py
@@ -24,6 +24,7 @@
 FAST = [
     "interim_heads",
     "header_lines",
+    "short_headers",
     "noise",
     "body",
     "error_body",
@@ -231,8 +232,8 @@
 def test_endless_answers_share_a_limit_of_memory(fleet, monkeypatch):
     """Their sum is limited, also where none is too large by itself."""
     monkeypatch.setattr(plain_exchange, "MAX_ANSWER_BYTES", 1 << 40)
-    buffers = fleet.nodes[0].router.tools.buffers
-    buffers.limit_bytes = 1 << 20
+    held = fleet.nodes[0].router.tools.held_bytes
+    held.limit_bytes = 1 << 20
     set_faults(fleet.servers, endless="body")
     calls = [
         gevent.spawn(
@@ -242,6 +243,6 @@
     ]
     gevent.joinall(calls, raise_error=True)
     assert {call.value.status for call in calls} == {502}
-    wait_for(lambda: buffers.used_bytes == 0)
+    wait_for(lambda: held.used_bytes == 0)
     set_faults(fleet.servers, endless="")
     wait_for(lambda: fleet.call("/safe/x").status == 200)
