List that a refused node takes whole answers for cut

Cause: where only this node is refused new connections, its check of the end of an answer without a length does not ask other nodes, so that a whole answer counts as cut.

Ruled out: hanging links, for which others are asked.

Evidence: test_refused_node_passes_a_whole_answer_on fails in 2 of 2 cases (502 and a cut stream).

--- a/test/test_torn_answers.py
+++ b/test/test_torn_answers.py
@@ -8,8 +8,14 @@
 import pytest
 from _common import ROOT
 from _endless import ScriptedSocket, make_connection, read_response
+from _lost_links import REFUSE, CutFleet
 from _mixed_builds import extract_build
-from _platform_fleet import PlatformFleet, event_ids, stream_headers
+from _platform_fleet import (
+    PlatformFleet,
+    event_ids,
+    stream_headers,
+    wait_for,
+)
 from _torn_answers import (
     ANSWER_S,
     CALLS_EACH,
@@ -230,3 +236,24 @@
     assert reader.recv(100) + reader.recv(100) == b"answer of it"
     with pytest.raises(ConnectionResetError):
         reader.recv(100)
+
+
+# Guards against a whole answer that is taken for cut, since this node alone is
+# refused new connections while its open ones live on.
+@pytest.mark.parametrize("target", ["/once/x", "/cut/x"])
+def test_refused_node_passes_a_whole_answer_on(target):
+    """Other nodes see that the server serves."""
+    cut_fleet = CutFleet(nodes=3, servers=2)
+    try:
+        fleet = cut_fleet.fleet
+        for server in fleet.servers:
+            server.faults.until_close = True
+            server.faults.body_pause_s = 0.05
+        headers = stream_headers() if target == "/cut/x" else ()
+        running = gevent.spawn(fleet.call, target, headers=headers)
+        wait_for(lambda: fleet.runs("id-1") == 1)
+        cut_fleet.cut({0}, REFUSE)
+        answer = running.get()
+        assert (answer.status, answer.whole) == (200, True)
+    finally:
+        cut_fleet.stop()
