Drop parameters of a test harness that no test sets

Cause: TornFleet took the number of nodes and whether answers have a length, and every test used the defaults. Change: both are fixed; no assertion and no bound changes. Result: make check passes; 5 of the module's tests that use the harness pass, the others of it were not run again.

--- a/test/_torn_answers.py
+++ b/test/_torn_answers.py
@@ -35,6 +35,7 @@
 a connection, and nodes that it asks then connect at once."""
 GRACE_S = 1.5
 """Time between SIGTERM and the end of a process, in seconds."""
+NODES = 3
 CALLS_EACH = 2
 BACKLOG = 64
 """Connections that may wait to be accepted by a link."""
@@ -169,20 +170,16 @@
         received: What the callers got.
     """
 
-    def __init__(
-        self, folder, nodes=3, builds=(), behind_links=True, until_close=True
-    ):
+    def __init__(self, folder, builds=(), behind_links=True):
         """Starts all and waits until they are ready.
 
         Args:
             folder: For settings and logs.
-            nodes: Number of nodes.
             builds: Roots of the builds that the first nodes run; the others
                 run this one.
             behind_links: Nodes reach the servers through links.
-            until_close: Answers have neither a length nor chunks.
         """
-        self.fleet = SoakFleet(folder, 1, nodes, 2)
+        self.fleet = SoakFleet(folder, 1, NODES, 2)
         for node, build in zip(self.fleet.nodes, builds, strict=False):
             node.root = build
         for node in self.fleet.nodes:
@@ -196,7 +193,7 @@
                 server.advertised_address = link.address
                 self.links.append(link)
             server.events, server.event_s = EVENTS, EVENT_S
-            server.faults.until_close = until_close
+            server.faults.until_close = True
             server.faults.body_pause_s = ANSWER_S / len(PLAIN_BODY)
         self.received: list[Received] = []
         self.callers: list[gevent.Greenlet] = []
