Obey evacuations, limit cold servers and read loads of four figures

Change: - ZoneEvacuations holds the zones that are to get nothing. They are left out of the usable servers, so that first attempts, retries, resumed streams and paths for other nodes obey, and are checked again once a connection is open. An older copy of the store neither ends an evacuation nor begins one again. - ColdServers divides what a cold server bears (cold_per_s of its service) between the nodes without messages: a hash of node, server and slot of one second draws who may send.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
@@ -6,6 +6,7 @@
 
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
 from amaranthlug.state.routing.config import RoutingConfig
+from amaranthlug.state.routing.evacuations import ZoneEvacuations
 from amaranthlug.state.routing.rollout import RolloutOrder
 
 MAX_PAST_ORDERS = 256
@@ -33,6 +34,13 @@
         """
         ...
 
+    def evacuated_zone(self, record: KeyedRecord) -> str | None:
+        """Returns the zone to which an evacuation or its removal applies.
+
+        Returns None if the record holds another kind.
+        """
+        ...
+
 
 class ConfigSource:
     """Keeps the newest valid configuration; never goes back to an older one.
@@ -47,6 +55,7 @@
             store and will be written again.
         writings: Service -> its order in force, once for each offset at which
             the operator wrote it.
+        evacuations: Zones whose servers must get no requests.
     """
 
     def __init__(self, decoder: OperatorDecoder):
@@ -59,9 +68,17 @@
         self.past_orders: deque[RolloutOrder] = deque(maxlen=MAX_PAST_ORDERS)
         self.lost_orders: set[str] = set()
         self.writings: dict[str, list[RolloutOrder]] = {}
+        self.evacuations = ZoneEvacuations()
 
     def replace(self, records: list[KeyedRecord]) -> None:
         """Applies a full read of the topic; known orders are kept."""
+        zones = {
+            zone: record.offset
+            for record in records
+            if record.value is not None
+            and (zone := self.decoder.evacuated_zone(record)) is not None
+        }
+        self.evacuations.replace(zones)
         for record in records:
             self.apply(record)
 
@@ -74,10 +91,14 @@
         self.offset = -1
         self.order_offsets.clear()
         self.lost_orders = set(self.orders)
+        self.evacuations.begin_restore()
         return [record for record in records if self.restore_record(record)]
 
     def restore_record(self, record: KeyedRecord) -> bool:
         """Applies a record of the copy; False if it is outdated."""
+        zone = self.decoder.evacuated_zone(record)
+        if zone is not None:
+            return self.evacuations.restore(zone, record.offset)
         decoded = self.decode(record)
         if decoded is None:
             return False
@@ -92,10 +113,15 @@
         )
 
     def apply(self, record: KeyedRecord) -> bool:
-        """Applies a configuration or an order.
+        """Applies a configuration, an order or the end of an evacuation.
 
-        Returns False if the record is malformed or a removal.
+        Returns False if the record is malformed or removes anything else.
         """
+        zone = self.decoder.evacuated_zone(record)
+        if zone is not None:
+            if record.value is None:
+                return self.evacuations.release(zone)
+            return self.evacuations.evacuate(zone, record.offset)
         decoded = self.decode(record)
         if decoded is None:
             return False
--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/server_directory.py
@@ -8,6 +8,7 @@
 
 from amaranthlug.coordination.boot_clock import boot_seconds
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
+from amaranthlug.state.routing.evacuations import ZoneEvacuations
 from amaranthlug.state.routing.server_ends import EndSign
 from amaranthlug.state.routing.servers import ServerEntry, ServerState
 
@@ -46,14 +47,14 @@
 
     Attributes:
         entry: Its newest entry.
-        first_seen_at: Clock when this instance was first seen, in seconds.
+        stated_at: Clock when its warm-up time was read, in seconds.
         drop_at: Clock when it is to be dropped, in seconds; None if listed.
         missing_in_copy: It is to be dropped since an older copy of the store
             lacks it, not since its entry was removed.
     """
 
     entry: ServerEntry
-    first_seen_at: float
+    stated_at: float
     drop_at: float | None = None
     missing_in_copy: bool = False
 
@@ -62,6 +63,7 @@
     """Holds the valid server entries by server id.
 
     Attributes:
+        evacuations: Zones whose servers are not usable.
         receive_departure: Called with each instance that is replaced or
             removed though it had not announced to leave.
         receive_return: Called with each instance that is listed again after it
@@ -73,6 +75,7 @@
         decoder: ServerDecoder,
         outage_ended_at: Callable[[], float],
         clock: Callable[[], float] = boot_seconds,
+        evacuations: ZoneEvacuations | None = None,
     ):
         """Creates a directory.
 
@@ -81,8 +84,10 @@
             outage_ended_at: Returns the clock at the end of the last outage of
                 the store, in seconds.
             clock: Returns seconds.
+            evacuations: Zones whose servers are not usable, by default none.
         """
         self.decoder = decoder
+        self.evacuations = evacuations or ZoneEvacuations()
         self.outage_ended_at = outage_ended_at
         self.clock = clock
         self.known: dict[str, KnownServer] = {}
@@ -159,10 +164,14 @@
             return False
         self.by_service = None
         self.report_replaced(entry)
-        first_seen_at = self.clock()
-        if known is not None and known.entry.instance_key == entry.instance_key:
-            first_seen_at = known.first_seen_at
-        self.known[record.key] = KnownServer(entry, first_seen_at)
+        stated_at = self.clock()
+        if (
+            known is not None
+            and known.entry.instance_key == entry.instance_key
+            and known.entry.cold_ms == entry.cold_ms
+        ):
+            stated_at = known.stated_at
+        self.known[record.key] = KnownServer(entry, stated_at)
         if entry.instance_key in self.departed:
             del self.departed[entry.instance_key]
             self.receive_return(entry)
@@ -259,7 +268,10 @@
                     self.by_service.setdefault(known.entry.service, []).append(
                         known.entry
                     )
-        return self.by_service.get(service, [])
+        ready = self.by_service.get(service, [])
+        if not self.evacuations.zones:
+            return ready
+        return [s for s in ready if not self.evacuations.is_evacuated(s.zone)]
 
     def is_usable(self, entry: ServerEntry) -> bool:
         """Returns whether this server instance may still receive requests."""
@@ -268,6 +280,7 @@
             known is not None
             and known.entry.state is ServerState.READY
             and (known.drop_at is None or known.drop_at > self.clock())
+            and not self.evacuations.is_evacuated(entry.zone)
         )
 
     def listed(self) -> list[ServerEntry]:
@@ -292,7 +305,7 @@
             return None
         return known.entry
 
-    def first_seen_at(self, entry: ServerEntry) -> float:
-        """Returns the clock when this server was first seen, in seconds."""
+    def warm_up_stated_at(self, entry: ServerEntry) -> float:
+        """Returns the clock when a warm-up time was read, in seconds."""
         known = self.known.get(entry.server_id)
-        return known.first_seen_at if known is not None else self.clock()
+        return known.stated_at if known is not None else self.clock()
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/exchange.py
@@ -33,7 +33,9 @@
 from amaranthlug.protocol.routing.server_health import ServerHealthTracker
 from amaranthlug.protocol.routing.version_speed import VersionSpeeds
 from amaranthlug.state.refusal import RefusalCode
+from amaranthlug.state.routing.cold_servers import ColdServers
 from amaranthlug.state.routing.config import Route
+from amaranthlug.state.routing.evacuations import ZoneEvacuations
 from amaranthlug.state.routing.grace_period import GracePeriod
 from amaranthlug.state.routing.server_statements import ServerStatements
 from amaranthlug.state.routing.servers import ServerEntry
@@ -93,6 +95,8 @@
         held_bytes: Limits the memory of what requests hold.
         statements: Knows the servers that want no new requests.
         grants: Limits what all nodes together send to servers in need.
+        cold: Limits what all nodes together send to cold servers.
+        evacuations: Zones whose servers get no requests.
         grace: Says what may still be sent after a stop signal.
         metrics: Counters and durations.
         clock: Returns seconds, including time in which the VM was paused.
@@ -114,6 +118,8 @@
     held_bytes: HeldBytes
     statements: ServerStatements
     grants: GrantOwners
+    cold: ColdServers
+    evacuations: ZoneEvacuations
     grace: GracePeriod
     metrics: Metrics
     clock: Callable[[], float]
@@ -267,7 +273,9 @@
             if former.instance_key == server.instance_key:
                 return True
             self.release_room(former)
-        if not self.tools.grants.acquire(server):
+        if not self.tools.cold.take(server) or not (
+            self.tools.grants.acquire(server)
+        ):
             self.denials += 1
             self.context.trace.denied += 1
             return False
@@ -512,9 +520,11 @@
 
     def may_send_to(self, server: ServerEntry) -> bool:
         """Returns whether the request may be sent to a server now."""
-        return self.context.may_send(
-            self.context
-        ) and self.tools.statements.may_receive(server)
+        return (
+            self.context.may_send(self.context)
+            and self.tools.statements.may_receive(server)
+            and not self.tools.evacuations.is_evacuated(server.zone)
+        )
 
     def check_head(self, server: ServerEntry, head: ReplyHead) -> None:
         """Checks that a response head is one that the caller can use.
@@ -605,6 +615,8 @@
                 "failures": round(health.failure_share, 2),
                 "brittle": self.tools.statements.max_refusals(server),
                 "limit": self.tools.statements.limit(server),
+                "cold": self.tools.cold.is_cold(server),
+                "work_percent": health.work_percent,
                 **more,
             }
         )
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/messages.py
@@ -104,11 +104,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class ServerLoad:
-    """Requests that a server runs and queues."""
+    """Requests that a server runs and queues.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that it queues.
+        slots: Requests that it runs concurrently.
+        work_percent: How long work takes on its machine at this moment, in
+            percent of the usual time; None if not stated. It changes many
+            times a second, so that it is logged and nothing is decided by it.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_percent: int | None = None
 
 
 class BodyFraming(enum.Enum):
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/router.py
@@ -253,10 +253,13 @@
             trace.version_choice = choice
         may_receive = self.tools.statements.may_receive
         may_ask = self.tools.grants.may_ask
+        is_warm_enough = self.tools.cold.may_receive
         return [
             server
             for server in choice.servers
-            if may_receive(server) and may_ask(server)
+            if may_receive(server)
+            and may_ask(server)
+            and is_warm_enough(server)
         ]
 
     def retry_later(self, reason: str, message: str) -> RefusedError:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/server_health.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/server_health.py
@@ -48,6 +48,8 @@
         silent_at: Clock reading at which a request last waited too long for
             data, in seconds.
         gone: Its process was not there when it was last checked.
+        work_percent: How long work took there when it last said so, in percent
+            of the usual time; None if it did not.
     """
 
     own_requests: int = 0
@@ -61,14 +63,23 @@
     last_byte_at: float = -math.inf
     silent_at: float = -math.inf
     gone: bool = False
+    work_percent: int | None = None
 
 
 class ServerHealthTracker:
-    """Tracks the health of all servers that this node has used."""
+    """Tracks the health of all servers that this node has used.
+
+    Attributes:
+        receive_reachable: Called with each instance that was gone and accepts
+            connections again.
+    """
 
     def __init__(self, clock: Callable[[], float]):
         """Creates an empty tracker; `clock` returns seconds."""
         self.clock = clock
+        self.receive_reachable: Callable[[ServerEntry], None] = lambda server: (
+            None
+        )
         self.by_instance: dict[tuple[str, int], ServerHealth] = {}
 
     def get_or_create(self, server: ServerEntry) -> ServerHealth:
@@ -116,6 +127,7 @@
         if health.gone:
             health.gone = False
             health.failure_share = 1.0
+            self.receive_reachable(server)
 
     def is_gone(self, server: ServerEntry) -> bool:
         """Returns whether an instance must get no request, even for trial."""
@@ -149,6 +161,7 @@
             0, load.running + load.waiting - health.own_requests
         )
         health.load_reported_at = self.clock()
+        health.work_percent = load.work_percent
 
     def record_outcome(self, server: ServerEntry, failed: bool) -> None:
         """Records the outcome of a request."""
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -80,7 +80,8 @@
 )
 from amaranthlug.protocol.routing.session_versions import SessionVersions
 from amaranthlug.protocol.routing.version_speed import VersionSpeeds
-from amaranthlug.state.routing.config import CallerLimits
+from amaranthlug.state.routing.cold_servers import ColdServers
+from amaranthlug.state.routing.config import CallerLimits, RoutedService
 from amaranthlug.state.routing.fleet import (
     NodeEntry,
     NodeReport,
@@ -216,6 +217,7 @@
         self.grace = GracePeriod(boot_seconds)
         self.announced = False
         self.caught_up = False
+        self.live_nodes = 1
         self.created_at = boot_seconds()
         self.stop_requested = Event()
         store = CountedStore(store, self.metrics)
@@ -230,7 +232,9 @@
             breaker=breaker,
         )
         self.servers = ServerDirectory(
-            codec, lambda: self.server_follower.outage_ended_at
+            codec,
+            lambda: self.server_follower.outage_ended_at,
+            evacuations=self.config.evacuations,
         )
         self.server_follower = TopicFollower(
             store,
@@ -332,12 +336,16 @@
             peers,
             self.metrics,
         )
-        self.links.receive_loss = self.record_lost_link
         self.server_ends = ServerEnds(
             self.upstreams, self.health, self.servers, self.metrics
         )
-        self.servers.receive_departure = self.server_ends.record_departure
-        self.servers.receive_return = self.server_ends.record_return
+        self.cold = ColdServers(
+            settings.name,
+            self.find_service,
+            self.count_nodes,
+            self.servers.warm_up_stated_at,
+            boot_seconds,
+        )
         self.budget = RetryBudget(seed=settings.seed)
         self.attempt_counts: collections.deque[tuple[float, int]] = (
             collections.deque()
@@ -354,7 +362,7 @@
                 settings.zone,
                 self.health,
                 self.queues,
-                self.servers.first_seen_at,
+                self.servers.warm_up_stated_at,
                 settings.seed,
             ),
             health=self.health,
@@ -368,6 +376,8 @@
             held_bytes=HeldBytes.from_memory(settings.memory_mb),
             statements=self.statements,
             grants=self.grants,
+            cold=self.cold,
+            evacuations=self.config.evacuations,
             grace=self.grace,
             metrics=self.metrics,
             clock=boot_seconds,
@@ -388,6 +398,15 @@
             self.metrics,
             settings.seed,
         )
+        self.subscribe()
+
+    def subscribe(self) -> None:
+        """Connects the parts that report changes to those that use them."""
+        self.links.receive_loss = self.record_lost_link
+        self.servers.receive_departure = self.server_ends.record_departure
+        self.servers.receive_return = self.record_return
+        self.health.receive_reachable = self.cold.record_return
+        self.config.evacuations.receive_release = self.record_release
 
     def start(self) -> None:
         """Starts to read the store and the periodic tasks."""
@@ -490,6 +509,7 @@
         self.links.keep_only(instance_keys)
         self.statements.keep_only(instance_keys)
         self.grants.keep_only(listed)
+        self.cold.keep_only(instance_keys)
         if self.config.config is not None:
             self.grace.keep_only(
                 {
@@ -501,9 +521,33 @@
         self.metrics.gauge("task_errors", supervised.errors.total())
         self.metrics.gauge("servers_brittle", len(self.statements.brittle))
         self.metrics.gauge("servers_limited", len(self.statements.limits))
+        self.metrics.gauge("servers_cold", self.cold.count(listed))
+        self.metrics.gauge(
+            "zones_evacuated", len(self.config.evacuations.zones)
+        )
         self.metrics.gauge("links_lost", len(self.links.lost))
         self.metrics.gauge("peer_paths_open", self.peer_paths.running)
 
+    def find_service(self, name: str) -> RoutedService | None:
+        """Returns the configuration of a service, None if it is unknown."""
+        config = self.config.config
+        return config.services.get(name) if config is not None else None
+
+    def count_nodes(self) -> int:
+        """Returns the number of live nodes, as known at the last report."""
+        return max(1, self.live_nodes)
+
+    def record_return(self, server: ServerEntry) -> None:
+        """Records a server that is listed again after its removal."""
+        self.cold.record_return(server)
+        self.server_ends.record_return(server)
+
+    def record_release(self, zone: str) -> None:
+        """Takes the servers of a zone that was evacuated for cold."""
+        for server in self.servers.listed():
+            if server.zone == zone:
+                self.cold.record_return(server)
+
     def record_lost_link(self, server: ServerEntry, hung: bool) -> None:
         """Clears a server of failures that a lost link explains.
 
@@ -528,7 +572,8 @@
     def update_retry_budget(self) -> None:
         """Sets this node's part of the fleet's retry budget."""
         bounds = self.settings.bounds
-        nodes = max(1, len(self.fleet.nodes()))
+        self.live_nodes = len(self.fleet.nodes())
+        nodes = self.count_nodes()
         attempt_total, now = self.budget.first_attempts, boot_seconds()
         self.attempt_counts.append((now, attempt_total))
         while now - self.attempt_counts[0][0] > bounds.retry_window_s:
--- a/packages/amaranthlug/src/amaranthlug/state/routing/config.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/config.py
@@ -80,11 +80,17 @@
         max_connections: Connections that one server accepts in total from all
             nodes.
         engine: Set if the servers are model engines.
+        cold_start_s: Time for which a server is cold after its start, in
+            seconds; 0 if it never is.
+        cold_per_s: Requests a second that a cold server bears from all nodes
+            together; 0 if there is no limit.
     """
 
     name: str
     max_connections: int
     engine: Engine | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/test/_streams.py
+++ b/test/_streams.py
@@ -18,7 +18,9 @@
 from amaranthlug.protocol.routing.server_health import ServerHealthTracker
 from amaranthlug.protocol.routing.stream_exchange import StreamExchange
 from amaranthlug.protocol.routing.version_speed import VersionSpeeds
+from amaranthlug.state.routing.cold_servers import ColdServers
 from amaranthlug.state.routing.config import RouteKind
+from amaranthlug.state.routing.evacuations import ZoneEvacuations
 from amaranthlug.state.routing.grace_period import GracePeriod
 from amaranthlug.state.routing.server_statements import ServerStatements
 
@@ -132,6 +134,13 @@
     return GrantOwners("node-1", list, statements, None, NoMetrics(), clock)
 
 
+def make_cold_servers(clock: FakeClock) -> ColdServers:
+    """Returns the register of a node whose services have no limit."""
+    return ColdServers(
+        "node-1", lambda _: None, lambda: 1, lambda _: 0.0, clock
+    )
+
+
 class StreamHarness:
     """Sends streams to one engine for each version, in simulated time."""
 
@@ -159,6 +168,8 @@
             held_bytes=HeldBytes.from_memory(128),
             statements=statements,
             grants=make_grants(statements, clock),
+            cold=make_cold_servers(clock),
+            evacuations=ZoneEvacuations(),
             grace=GracePeriod(clock),
             speeds=VersionSpeeds(clock, tracker.target_of, tracker.count),
             metrics=NoMetrics(),
--- a/test/test_store_era.py
+++ b/test/test_store_era.py
@@ -129,6 +129,10 @@
         """Returns no configuration."""
         return None
 
+    def evacuated_zone(self, record):
+        """Returns that no record is an evacuation."""
+        return None
+
 
 def make_records(*values) -> list[KeyedRecord]:
     """Returns records of decoded values."""
