Limit what all callers make a node hold

Cause: requests were bounded one by one. Trailers had no limit and became headers, a refused head was stored line by line first, each chunk took an object, up to 256 KB of pipelined requests were parsed at once, a body had no time by which it must be complete, and a full server accepted nobody until a connection became idle for long enough.

Change: - RequestMemory counts what all connections hold, objects included, 0.12 of the memory of the settings; 16 KiB of each do not count. Unfinished requests older than 1 s give way, the slowest first, with 408; else the newcomer gets 503 with Retry-After. It is apart from the account of answers, so that a crowd of callers cannot turn answers of others into failures. - The parser checks a head while it arrives, drops trailers and limits their bytes, keeps a body in one buffer, and parses in steps of 4 and 16 KB. - A body must be complete by the caller's own deadline. - Bodies in very small chunks take half of the parsing time at most. - A server with few free connections closes idle and slow ones. - A rejection says which limit it met and what to do; a line a second for each reason is logged, and all are counted (callers.rejected.REASON). - Parser and limits have modules of their own.

A request of 3,000 lines, a body of 4 MiB and one of 200,000 chunks are served in calm.

--- a/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/http_server.py
@@ -1,21 +1,25 @@
 """HTTP/1.1 server that reads complete requests and detects disconnects."""
 
-import collections
 import contextlib
-import dataclasses
 import http
+import itertools
 import logging
+import math
 import socket
 from collections.abc import Callable
 
 import gevent
-import httptools
 from gevent.pool import Pool
 from gevent.server import StreamServer
 
 from amaranthlug.coordination.boot_clock import boot_seconds
-from amaranthlug.state.routing.config import CallerLimits
 from amaranthlug.transport.routing.http_client import Headers
+from amaranthlug.transport.routing.request_parser import (
+    IncomingRequest,
+    RejectedRequestError,
+    RequestParser,
+)
+from amaranthlug.transport.routing.server_limits import ServerLimits
 from amaranthlug.transport.routing.sockets import (
     is_readable,
     set_tcp_options,
@@ -24,6 +28,17 @@
 
 READ_BYTES = 65_536
 """Most bytes per read of a socket."""
+READ_AHEAD_STEP_BYTES = 16_384
+"""Most bytes per read while a request is answered."""
+LINGER_S = 0.5
+"""Time in which bytes of a rejected request are discarded, in seconds."""
+MIN_FREE_CONNECTIONS = 8
+"""Connections that are kept free for new callers, by closing idle ones."""
+FREE_RETRY_S = 0.25
+"""Time after which a server with few free connections closes more, in
+seconds."""
+NO_MEMORY_RETRY_S = "0.5"
+"""`Retry-After` of a request for which there is no memory, in seconds."""
 BACKLOG = 1_024
 """Connections that may wait to be accepted; callers retry beyond that."""
 WRITE_TIMEOUT_S = 10.0
@@ -39,155 +54,6 @@
     """Kills a greenlet of a connection that closed or is being closed."""
 
 
-class RejectedRequestError(Exception):
-    """A request that violates the protocol or exceeds a limit."""
-
-    def __init__(self, status: int, message: str):
-        """Stores the status of the response."""
-        super().__init__(message)
-        self.status = status
-
-
-@dataclasses.dataclass
-class IncomingRequest:
-    """A request as received.
-
-    Attributes:
-        method: HTTP method, such as `GET`.
-        target: Path and query as sent.
-        headers: Headers in the order received.
-        body: The complete body without its framing.
-        arrived: Boot clock at the first byte of the request, in seconds.
-    """
-
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
-    arrived: float
-
-    def get(self, name: str) -> str | None:
-        """Returns the first value of a header; `name` in lower case."""
-        for header, value in self.headers:
-            if header.lower() == name:
-                return value
-        return None
-
-
-class RequestParser:
-    """Parses received bytes into requests; one read may hold several.
-
-    Attributes:
-        complete_requests: Complete requests, each with whether the connection
-            may stay open after it.
-        first_byte_at: Boot clock at the first byte of the current request, in
-            seconds; None between requests.
-    """
-
-    def __init__(self, limits: Callable[[], CallerLimits]):
-        """Creates a parser for one connection."""
-        self.limits = limits
-        self.parser = httptools.HttpRequestParser(self)
-        self.complete_requests: collections.deque[
-            tuple[IncomingRequest, bool]
-        ] = collections.deque()
-        self.target = b""
-        self.headers: Headers = []
-        self.body: list[bytes] = []
-        self.body_bytes = 0
-        self.head_bytes = 0
-        self.first_byte_at: float | None = None
-        self.in_head = True
-        self.wants_continue = False
-
-    def feed(self, data: bytes) -> None:
-        """Parses received bytes.
-
-        Raises:
-            RejectedRequestError: They violate the protocol or exceed a limit.
-        """
-        if self.first_byte_at is None:
-            self.first_byte_at = boot_seconds()
-        if self.in_head:
-            self.head_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise RejectedRequestError(
-                400, "upgrades are not supported"
-            ) from error
-        except httptools.HttpParserCallbackError as error:
-            if isinstance(error.__context__, RejectedRequestError):
-                raise error.__context__ from None
-            raise
-        except httptools.HttpParserError as error:
-            raise RejectedRequestError(
-                400, f"malformed HTTP request: {error}"
-            ) from (error)
-        if self.in_head and self.head_bytes > self.limits().header_bytes:
-            raise RejectedRequestError(431, "the request head is too large")
-
-    def on_message_begin(self) -> None:
-        """Resets the state for a new request."""
-        self.target = b""
-        self.headers = []
-        self.body = []
-        self.body_bytes = 0
-        self.in_head = True
-        if self.first_byte_at is None:
-            self.first_byte_at = boot_seconds()
-
-    def on_url(self, url: bytes) -> None:
-        """Appends to the target, which may arrive in parts."""
-        self.target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header."""
-        self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
-        if name.lower() == b"expect" and value.lower() == b"100-continue":
-            self.wants_continue = True
-
-    def on_headers_complete(self) -> None:
-        """Checks the size of the complete head.
-
-        Raises:
-            RejectedRequestError: It exceeds the limit.
-        """
-        self.in_head = False
-        size = sum(len(name) + len(value) + 4 for name, value in self.headers)
-        if size + len(self.target) > self.limits().header_bytes:
-            raise RejectedRequestError(431, "the request head is too large")
-
-    def on_body(self, body: bytes) -> None:
-        """Appends to the body.
-
-        Raises:
-            RejectedRequestError: The body exceeds the limit.
-        """
-        self.body_bytes += len(body)
-        if self.body_bytes > self.limits().body_bytes:
-            raise RejectedRequestError(413, "the request body is too large")
-        self.body.append(body)
-
-    def on_message_complete(self) -> None:
-        """Queues a complete request."""
-        request = IncomingRequest(
-            self.parser.get_method().decode("latin-1"),
-            self.target.decode("latin-1"),
-            self.headers,
-            b"".join(self.body),
-            self.first_byte_at or boot_seconds(),
-        )
-        self.body = []
-        self.complete_requests.append(
-            (request, self.parser.should_keep_alive())
-        )
-        self.first_byte_at = None
-        self.head_bytes = 0
-        self.in_head = True
-        self.wants_continue = False
-
-
 class Responder:
     """Writes the response to one request.
 
@@ -261,16 +127,16 @@
         self,
         address: str,
         handler: Handler,
-        limits: Callable[[], CallerLimits] = CallerLimits,
-        max_connections: int = 2_000,
+        limits: ServerLimits | None = None,
     ):
         """Creates a server that listens once `start` is called."""
         self.handler = handler
-        self.limits = limits
+        self.limits = limits or ServerLimits()
         self.draining = False
         self.closed = False
+        self.will_retry = False
         self.idle: dict[socket.socket, gevent.Greenlet] = {}
-        self.pool = Pool(max_connections)
+        self.pool = Pool(self.limits.max_connections)
         self.server = StreamServer(
             split_address(address),
             self.serve_connection,
@@ -317,19 +183,53 @@
 
     def serve_connection(self, sock: socket.socket, peer: object) -> None:
         """Serves the requests of one connection until it closes."""
+        self.keep_connections_free()
+        connection = ServedConnection(self, sock)
         try:
             set_tcp_options(sock)
-            ServedConnection(self, sock).run()
+            connection.run()
         except (OSError, CallerDisconnected):
             pass  # The caller disconnected; the handler logged its request.
         finally:
+            self.limits.memory.remove(connection.held)
             sock.close()
 
+    def keep_connections_free(self) -> None:
+        """Closes idle or slow connections if few are left for new callers.
+
+        Idle ones go first, those that are idle for the longest time before
+        others, then unfinished requests, the slowest first. A full server
+        accepts nothing, so that it is tried again until some are free.
+        """
+        spare = MIN_FREE_CONNECTIONS - self.pool.free_count()
+        if spare <= 0:
+            return
+        self.limits.rejections.record(
+            "connections",
+            f"{self.limits.max_connections} connections are open; idle and "
+            "slow ones are closed",
+        )
+        loop = gevent.get_hub().loop
+        idle = list(itertools.islice(self.idle.items(), spare))
+        for sock, reader in idle:
+            loop.run_callback(self.close_if_idle, sock, reader)
+        for _ in range(spare - len(idle)):
+            self.limits.memory.evict_slowest()
+        if not self.will_retry:
+            self.will_retry = True
+            gevent.spawn_later(FREE_RETRY_S, self.retry_to_free)
+
+    def retry_to_free(self) -> None:
+        """Checks again whether connections are free."""
+        self.will_retry = False
+        self.keep_connections_free()
+
 
 class ServedConnection:
     """One connection of a caller.
 
     Attributes:
+        held: What its requests hold of the server's memory.
         read_ahead: Bytes of later requests, read while one was answered.
         rejection: Why the bytes after the last complete request were rejected.
     """
@@ -338,9 +238,11 @@
         """Wraps an accepted socket."""
         self.server = server
         self.sock = sock
-        self.parser = RequestParser(server.limits)
+        self.parser = RequestParser(server.limits.callers)
         self.read_ahead = b""
+        self.answering_bytes = 0
         self.rejection: RejectedRequestError | None = None
+        self.held = server.limits.memory.add(self.evict)
 
     def run(self) -> None:
         """Answers the requests of the connection in order."""
@@ -353,8 +255,11 @@
             if received is None:
                 return
             request, keep_alive = received
+            self.answering_bytes = request.held_bytes
             if not self.answer(request, keep_alive):
                 return
+            self.answering_bytes = 0
+            self.update_held()
             if self.server.closed and not self.has_more():
                 return
 
@@ -364,6 +269,32 @@
             self.parser.complete_requests or self.read_ahead or self.rejection
         ) or is_readable(self.sock)
 
+    def update_held(self) -> bool:
+        """Counts what the connection holds; False if there is no room."""
+        held, parser = self.held, self.parser
+        held.began_at = (
+            math.inf
+            if self.answering_bytes or parser.first_byte_at is None
+            else parser.first_byte_at
+        )
+        return self.server.limits.memory.resize(
+            held,
+            self.answering_bytes + parser.held_bytes + len(self.read_ahead),
+        )
+
+    def evict(self) -> None:
+        """Ends the connection in favour of others; its request has not run."""
+        self.rejection = RejectedRequestError(
+            408,
+            "the request was received too slowly while others wanted room; "
+            "send it again",
+            "evicted",
+        )
+        self.parser.drop_all()
+        self.read_ahead = b""
+        with contextlib.suppress(OSError):  # The caller disconnected.
+            self.sock.shutdown(socket.SHUT_RD)
+
     def next_request(self) -> tuple[IncomingRequest, bool] | None:
         """Returns the next complete request and whether to keep the connection.
 
@@ -376,21 +307,58 @@
         while not parser.complete_requests:
             if self.rejection is not None:
                 raise self.rejection
-            data, self.read_ahead = self.read_ahead, b""
-            data = data or self.read(parser)
+            data = self.read_ahead or self.read(parser)
+            if self.rejection is not None:
+                continue  # It was evicted while it read.
             if not data:
                 return None
+            step = parser.step_bytes
+            data, self.read_ahead = data[:step], data[step:]
             try:
-                parser.feed(data)
+                self.feed(data)
             except RejectedRequestError as error:
                 # Complete requests before the malformed bytes are answered.
                 self.rejection = error
+                self.parser.drop_unfinished()
+                self.read_ahead = b""
                 continue
+            if not self.update_held() and self.rejection is None:
+                self.drop_beyond_first()
             if parser.wants_continue and not parser.complete_requests:
                 parser.wants_continue = False
                 self.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
         return parser.complete_requests.popleft()
 
+    def feed(self, data: bytes) -> None:
+        """Parses bytes; fragmented bodies take half of the time at most.
+
+        Else many of them at once would leave no time for other callers.
+
+        Raises:
+            RejectedRequestError: They violate the protocol or exceed a limit.
+        """
+        if not self.parser.is_fragmented():
+            self.parser.feed(data)
+            return
+        with self.server.limits.fragments:
+            started_at = boot_seconds()
+            if self.rejection is None:  # Else it was evicted meanwhile.
+                self.parser.feed(data)
+            gevent.sleep(boot_seconds() - started_at)
+
+    def drop_beyond_first(self) -> None:
+        """Rejects what there is no memory for; one complete request is kept."""
+        self.rejection = RejectedRequestError(
+            503,
+            "the requests of all callers take the memory of this node; send "
+            f"the request again after {NO_MEMORY_RETRY_S} s",
+            "memory",
+        )
+        first = list(self.parser.complete_requests)[:1]
+        self.parser.drop_all()
+        self.parser.complete_requests.extend(first)
+        self.read_ahead = b""
+
     def read(self, parser: RequestParser) -> bytes:
         """Reads bytes, within the idle timeout if no request has started.
 
@@ -405,7 +373,9 @@
         except TimeoutError:
             if in_request:
                 raise RejectedRequestError(
-                    408, "the request was not received in time"
+                    408,
+                    "the request was not received in time; send it faster",
+                    "slow",
                 ) from None
             return b""
         finally:
@@ -421,8 +391,11 @@
         started_at = boot_seconds()
         while True:
             wait_s = started_at + self.limit_s(in_request) - boot_seconds()
+            wait_s = min(wait_s, self.remaining_s())
             if wait_s <= 0 and not is_readable(self.sock):
                 raise TimeoutError("no bytes arrived in time")
+            if self.remaining_s() <= 0:
+                raise TimeoutError("the request is not complete in time")
             self.sock.settimeout(max(wait_s, 0.001))
             try:
                 return self.sock.recv(READ_BYTES)
@@ -431,25 +404,42 @@
 
     def limit_s(self, in_request: bool) -> float:
         """Returns the longest wait for bytes, in seconds."""
-        limits = self.server.limits()
+        limits = self.server.limits.callers()
         return limits.header_timeout_s if in_request else limits.idle_timeout_s
 
+    def remaining_s(self) -> float:
+        """Returns the time in which a request must be complete, in seconds.
+
+        A body that never ends would hold its connection for ever.
+        """
+        parser = self.parser
+        if parser.first_byte_at is None or parser.in_head:
+            return math.inf
+        allowed_s = self.server.limits.body_time_s(parser.headers)
+        return parser.first_byte_at + allowed_s - boot_seconds()
+
     def reject(self, error: RejectedRequestError) -> None:
         """Answers a rejected request and ends the connection."""
-        log.info(
-            "request rejected: %s",
-            error,
-            extra={"event": "rejected", "status": error.status},
+        self.server.limits.rejections.record(
+            error.reason, str(error), status=error.status
         )
+        self.parser.drop_all()
+        self.update_held()
         responder = Responder(self.sock, lambda: False)
         self.sock.settimeout(WRITE_TIMEOUT_S)
-        responder.send_response(error.status, [], b"")
+        headers = [("Content-Type", "text/plain")]
+        if error.status == 503:
+            headers.append(("Retry-After", NO_MEMORY_RETRY_S))
+        responder.send_response(
+            error.status, headers, f"{error}\n".encode("latin-1", "replace")
+        )
         # Closing a socket with unread bytes sends a reset, which may reach the
         # caller before the response.
         self.sock.shutdown(socket.SHUT_WR)
-        self.sock.settimeout(0.5)
-        while self.sock.recv(READ_BYTES):
-            pass
+        self.sock.settimeout(LINGER_S)
+        with gevent.Timeout(LINGER_S, False):
+            while self.sock.recv(READ_AHEAD_STEP_BYTES):
+                pass
 
     def answer(self, request: IncomingRequest, keep_alive: bool) -> bool:
         """Runs the handler; returns whether the connection is kept alive."""
@@ -493,10 +483,12 @@
                 return  # The handler closed the connection itself.
             try:
                 gevent.socket.wait_read(self.sock.fileno())
-                data = self.sock.recv(READ_BYTES)
+                data = self.sock.recv(READ_AHEAD_STEP_BYTES)
             except OSError:
                 data = b""
             if not data:
                 worker.kill(CallerDisconnected, block=False)
                 return
             self.read_ahead += data
+            if not self.update_held():
+                return  # The rest stays in the socket buffer.
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_http.py
@@ -45,10 +45,7 @@
     HttpConnection,
     render_request,
 )
-from amaranthlug.transport.routing.http_server import (
-    IncomingRequest,
-    Responder,
-)
+from amaranthlug.transport.routing.http_server import Responder
 from amaranthlug.transport.routing.peer_paths import (
     CHECK_PATH,
     FRAMING_HEADER,
@@ -56,6 +53,7 @@
     OPEN_PATH,
     PeerPaths,
 )
+from amaranthlug.transport.routing.request_parser import IncomingRequest
 
 EXCHANGE_PATH = "/peer/exchange"
 TOPICS_PATH = "/peer/topics"
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/peer_paths.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/peer_paths.py
@@ -22,15 +22,13 @@
     READ_BYTES,
     HttpConnection,
 )
-from amaranthlug.transport.routing.http_server import (
-    IncomingRequest,
-    Responder,
-)
+from amaranthlug.transport.routing.http_server import Responder
 from amaranthlug.transport.routing.path_frames import (
     FramedWriter,
     PathWriter,
     UnframedWriter,
 )
+from amaranthlug.transport.routing.request_parser import IncomingRequest
 from amaranthlug.transport.routing.sockets import split_address
 
 OPEN_PATH = "/peer/open-path"
--- a/test/_crowd.py
+++ b/test/_crowd.py
@@ -89,6 +89,8 @@
 """Size of a large head that the limit of 16,384 bytes allows."""
 BODY_BYTES = 1_000_000
 """Size of a large body that the limit of the test allows."""
+LARGEST_BODY_BYTES = 4 << 20
+"""Size of the largest body that the limit of the test allows."""
 FLOOD_BYTES = 1_000_000
 """Bytes that a client sends at most beyond a complete body."""
 
@@ -189,6 +191,23 @@
     yield head(number).removesuffix(b"\r\n")
 
 
+def whole_many_lines(number: int) -> Iterator[bytes]:
+    """A complete request with thousands of short lines."""
+    yield head(number, *[b"a:"] * 3_000, b"Content-Length: 0")
+
+
+def whole_large_body(number: int) -> Iterator[bytes]:
+    """A complete request with the largest body."""
+    yield head(number, b"Content-Length: %d" % LARGEST_BODY_BYTES)
+    yield from blocks(b"x" * LARGEST_BODY_BYTES)
+
+
+def whole_small_chunks(number: int) -> Iterator[bytes]:
+    """A complete request in chunks of one byte."""
+    yield from small_chunks(number)
+    yield b"0\r\n\r\n"
+
+
 def process_status(process_id: int, field: str) -> int:
     """Returns a number of a process's status, such as `VmHWM` in kB."""
     status = pathlib.Path(f"/proc/{process_id}/status").read_text()
--- a/test/test_caller_connections.py
+++ b/test/test_caller_connections.py
@@ -12,6 +12,7 @@
     render_request,
 )
 from amaranthlug.transport.routing.http_server import HttpServer
+from amaranthlug.transport.routing.server_limits import ServerLimits
 from amaranthlug_standins.loopback import listener_addresses
 
 IDLE_S = 0.2
@@ -34,7 +35,9 @@
         self.fails_late = False
         self.delay_s = 0.0
         self.address = listener_addresses(1).pop()
-        self.server = HttpServer(self.address, self.handle, lambda: self.limits)
+        self.server = HttpServer(
+            self.address, self.handle, ServerLimits(lambda: self.limits)
+        )
         self.server.start()
 
     def handle(self, incoming, responder):
--- a/test/test_crowds.py
+++ b/test/test_crowds.py
@@ -7,6 +7,7 @@
 answered while the crowd's connections are open.
 """
 
+import contextlib
 import json
 
 import pytest
@@ -27,10 +28,14 @@
     small_chunks,
     start_crowd,
     unfinished_head,
+    whole_large_body,
+    whole_many_lines,
+    whole_small_chunks,
 )
 from _mixed_builds import START_LIMIT_S, is_ready
 from _platform_fleet import call, make_wire_config, wait_for
 
+from amaranthlug.transport.routing.http_client import HttpConnection
 from amaranthlug_platform.records import OPERATOR_TOPIC
 from amaranthlug_platform_standins.soak_fleet import SoakFleet
 
@@ -111,3 +116,23 @@
     finally:
         crowd.close()
     wait_for(lambda: is_answered(address), ANSWER_LIMIT_S)
+
+
+# Guards against a limit on crowds that refuses a single legal request.
+@pytest.mark.processes
+@pytest.mark.parametrize(
+    "shape",
+    [
+        pytest.param(whole_many_lines, id="lines"),
+        pytest.param(whole_large_body, id="body"),
+        pytest.param(whole_small_chunks, id="chunks"),
+    ],
+)
+def test_single_request_inside_the_limits_is_served(node_fleet, shape):
+    """In calm, the limits on one request decide alone."""
+    address = node_fleet.nodes[0].addresses["callers"]
+    connection = HttpConnection.open(address, 10.0)
+    with contextlib.closing(connection):
+        for block in shape(1):
+            connection.send(block, ANSWER_LIMIT_S)
+        assert connection.read_head(ANSWER_LIMIT_S).status == 200
--- a/test/test_odd_records.py
+++ b/test/test_odd_records.py
@@ -14,7 +14,7 @@
     ResponseHead,
     render_request,
 )
-from amaranthlug.transport.routing.http_server import IncomingRequest
+from amaranthlug.transport.routing.request_parser import IncomingRequest
 from amaranthlug.transport.routing.sockets import connect
 from amaranthlug_platform.headers import (
     BadRequestError,
