Let each node use few engines, and say why unsure answers are kept

Cause: a node hears of an engine only from the answers to its own requests, every 6 s at 74 nodes and 45 engines, and engines of which nothing is known look idle to all nodes at once. Nodes that start take themselves for the whole fleet and would send its share to cold servers.

Change: Placement compares five engines of the node's zone by rendezvous hashing (engines_per_node), three of other zones and those that cache the subject; all if none of them may be used. The line of a request says why an answer of low confidence was delivered. A node that has just started takes the fleet for the largest one when it divides what cold servers bear.

--- a/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/choosers.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/choosers.py
@@ -5,7 +5,10 @@
 
 from amaranthlug.protocol.routing.engine_queues import EngineQueues
 from amaranthlug.protocol.routing.messages import ServerLoad
-from amaranthlug.protocol.routing.placement import Placement
+from amaranthlug.protocol.routing.placement import (
+    ENGINES_PER_NODE,
+    Placement,
+)
 from amaranthlug.protocol.routing.server_health import ServerHealthTracker
 from amaranthlug.protocol.routing.urgency import urgency_of
 from amaranthlug.state.routing.servers import ServerEntry
@@ -116,12 +119,31 @@
 class UnrankedChooser(LeastLoadedChooser):
     """Uses the product's placement but gives all prompts the same rank."""
 
-    def __init__(self, zone: str, clock: SimulatedClock, seed: int):
-        """Creates the product's modules of one node."""
+    def __init__(
+        self,
+        zone: str,
+        clock: SimulatedClock,
+        seed: int,
+        engines_per_node: int = ENGINES_PER_NODE,
+    ):
+        """Creates the product's modules of one node.
+
+        Args:
+            zone: Zone of the node.
+            clock: Simulated clock.
+            seed: Number of the node.
+            engines_per_node: Engines of its zone that it uses; 0 for all.
+        """
         super().__init__(clock, seed)
         self.queues = EngineQueues(clock)
         self.placement = Placement(
-            zone, self.health, self.queues, lambda _: 0.0, seed
+            zone,
+            self.health,
+            self.queues,
+            lambda _: 0.0,
+            seed,
+            f"node-{seed}",
+            engines_per_node,
         )
 
     def pick(
--- a/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/run.py
+++ b/packages/amaranthlug-standins/src/amaranthlug_standins/simulation/run.py
@@ -147,6 +147,9 @@
             "product": lambda n: ProductChooser(
                 f"zone-{n % zones}", self.clock, n
             ),
+            "all-engines": lambda n: ProductChooser(
+                f"zone-{n % zones}", self.clock, n, engines_per_node=0
+            ),
             "unranked": lambda n: UnrankedChooser(
                 f"zone-{n % zones}", self.clock, n
             ),
@@ -260,5 +263,12 @@
         )
 
 
-CHOOSERS = ("product", "unranked", "least-loaded", "random", "oracle")
+CHOOSERS = (
+    "product",
+    "all-engines",
+    "unranked",
+    "least-loaded",
+    "random",
+    "oracle",
+)
 """Engine selection strategies, the product's first."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
@@ -38,11 +38,14 @@
 information from all choosing the same server."""
 AFFINITY_SERVERS = 2
 """Servers that cache the shared prompt parts of one subject."""
-MAX_COMPARED = 64
-"""Largest number of engines that are all compared. A comparison takes 12 us,
-so a choice among 3,600 would take 43 ms of CPU time."""
-ANY_ZONE_SAMPLE = 8
-"""Engines of any zone in a sample, in case the node's own zone is busy."""
+ENGINES_PER_NODE = 5
+"""Engines of its own zone that a node uses. What it knows of an engine comes
+from the answers to its own requests, so that it knows few engines well or many
+badly; see docs/design/even-load.md."""
+MAX_RANKS = 10_000
+"""Most hashes that are kept; ids of servers that are gone stay until then."""
+OTHER_ZONE_ENGINES = 3
+"""Engines of other zones that it uses, in case its own zone is busy."""
 
 
 class Placement:
@@ -55,13 +58,29 @@
         queues: EngineQueues,
         started_at: Callable[[ServerEntry], float],
         seed: int | None = None,
+        node: str = "",
+        engines_per_node: int = ENGINES_PER_NODE,
     ):
-        """Creates the placement of a node in `zone`."""
+        """Creates the placement of a node.
+
+        Args:
+            zone: Zone of the node.
+            health: Observations of the servers.
+            queues: Expected delays at the engines.
+            started_at: Returns the clock when the warm-up time of a server
+                was read, in seconds.
+            seed: Makes random choices repeatable; for tests only.
+            node: Name of the node, which decides on the engines that it uses.
+            engines_per_node: Engines of its zone that it uses; 0 for all.
+        """
         self.zone = zone
         self.health = health
         self.queues = queues
         self.started_at = started_at
         self.random = random.Random(seed)
+        self.node = node
+        self.engines_per_node = engines_per_node
+        self.ranks: dict[str, int] = {}
 
     def eligible(
         self, servers: list[ServerEntry], tried: set[tuple[str, int]]
@@ -105,8 +124,10 @@
         model: str | None,
     ) -> ServerEntry | None:
         """Returns the best engine for a prompt, None if there is none."""
-        compared = self.sample_engines(servers, request.subject)
-        eligible = self.eligible(compared, tried)
+        compared = self.choose_subset(servers, request.subject)
+        eligible = self.eligible(compared, tried) or self.eligible(
+            servers, tried
+        )
         if not eligible:
             return None
         savings_ms = self.cache_savings_ms(eligible, request, model)
@@ -123,24 +144,44 @@
 
         return min(eligible, key=cost_ms)
 
-    def sample_engines(
+    def choose_subset(
         self, servers: list[ServerEntry], subject: str | None
     ) -> list[ServerEntry]:
-        """Returns all engines, or a sample if there are many.
+        """Returns the engines that are compared for a request.
 
-        A sample consists of engines in this zone, including the affinity
-        servers of the subject, and a few engines in any zone.
+        They are the ones that this node uses, which it knows best, and those
+        that are likely to cache the subject.
         """
-        if len(servers) <= MAX_COMPARED:
+        if not self.engines_per_node:
             return servers
-        same_zone = [s for s in servers if s.zone == self.zone] or servers
-        sample = self.random.sample(
-            same_zone, min(len(same_zone), MAX_COMPARED)
-        )
-        sample += self.random.sample(servers, ANY_ZONE_SAMPLE)
+        same_zone = [s for s in servers if s.zone == self.zone]
+        other_zones = [s for s in servers if s.zone != self.zone]
+        if not same_zone:
+            same_zone, other_zones = servers, []
+        subset = self.highest(same_zone, self.engines_per_node)
+        subset += self.highest(other_zones, OTHER_ZONE_ENGINES)
         if subject is not None:
-            sample += affinity_servers(subject, same_zone)
-        return list({server.instance_key: server for server in sample}.values())
+            subset += affinity_servers(subject, same_zone)
+        return list({server.instance_key: server for server in subset}.values())
+
+    def highest(
+        self, servers: list[ServerEntry], count: int
+    ) -> list[ServerEntry]:
+        """Returns servers by the rendezvous hash of this node."""
+        if len(servers) <= count:
+            return servers
+        return heapq.nlargest(count, servers, key=self.rank)
+
+    def rank(self, server: ServerEntry) -> int:
+        """Returns the hash of this node with a server."""
+        found = self.ranks.get(server.server_id)
+        if found is None:
+            if len(self.ranks) >= MAX_RANKS:
+                self.ranks.clear()
+            text = f"{self.node}|{server.server_id}"
+            found = xxhash.xxh3_64_intdigest(text.encode())
+            self.ranks[server.server_id] = found
+        return found
 
     def cache_savings_ms(
         self,
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/request_log.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/request_log.py
@@ -29,6 +29,7 @@
         first_event_ms: Time to the first event or answer, in milliseconds.
         waited_ms: Time spent waiting for a server, in milliseconds.
         denied: Number of times that a server had no room for it.
+        kept_answer: Why an answer of low confidence was delivered.
         version_choice: Choice of the version for the first attempt.
         digest: Digest of the request, None if it was not needed.
         blocked_by: Request or part of its prompt that is blocked, None if it
@@ -44,6 +45,7 @@
     first_event_ms: float | None = None
     waited_ms: float = 0.0
     denied: int = 0
+    kept_answer: str | None = None
     version_choice: VersionChoice | None = None
     digest: str | None = None
     blocked_by: str | None = None
@@ -69,6 +71,7 @@
             "session": self.request.session,
             **(self.version_choice.fields() if self.version_choice else {}),
             **({"denied": self.denied} if self.denied else {}),
+            **({"kept": self.kept_answer} if self.kept_answer else {}),
             **({"digest": self.digest} if self.digest else {}),
             **({"blocked_by": self.blocked_by} if self.blocked_by else {}),
         }
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/stream_exchange.py
@@ -232,19 +232,31 @@
         model_index = self.tools.models.escalation_index(
             self.route, self.model_index, head.confidence
         )
-        if (
-            model_index is None
-            or not self.has_time_for(model_index)
-            or not self.tools.budget.can_spend(
-                self.context.service_name, FAILURE_RESERVE
-            )
-            or not self.may_drop_answer_of(server, model_index)
-        ):
+        if model_index is None:
+            return
+        kept = self.reason_to_keep(server, model_index)
+        if kept is not None:
+            self.context.trace.kept_answer = kept
+            self.tools.metrics.incr(f"weak_answers.kept.{kept}")
             return
         raise UpstreamCallError(
             FailureKind.WEAK, f"confidence {head.confidence}"
         )
 
+    def reason_to_keep(
+        self, server: ServerEntry, model_index: int
+    ) -> str | None:
+        """Returns why an unsure answer is delivered, None if it is dropped."""
+        if not self.has_time_for(model_index):
+            return "no_time"
+        if not self.tools.budget.can_spend(
+            self.context.service_name, FAILURE_RESERVE
+        ):
+            return "no_budget"
+        if not self.may_drop_answer_of(server, model_index):
+            return "no_server"
+        return None
+
     def may_drop_answer_of(self, server: ServerEntry, model_index: int) -> bool:
         """Returns whether a server has taken the request for a larger model."""
         former = self.model_index
--- a/packages/amaranthlug/src/amaranthlug/routed_node.py
+++ b/packages/amaranthlug/src/amaranthlug/routed_node.py
@@ -137,6 +137,11 @@
 this node reads them from the store itself."""
 ANNOUNCE_WAIT_S = 3.0
 """Maximum wait for readiness before the first report, in seconds."""
+FLEET_KNOWN_S = 3.0
+"""Time after its start from which a node knows how many others there are, in
+seconds; reports are written and read once a second."""
+MAX_FLEET_NODES = 390
+"""Nodes of the largest fleet that is planned."""
 CHECK_PERIOD_S = 0.1
 """Period of the checks for remaining requests during a stop, in seconds; the
 readiness check at the start runs five times as often."""
@@ -364,6 +369,8 @@
                 self.queues,
                 self.servers.warm_up_stated_at,
                 settings.seed,
+                settings.name,
+                settings.engines_per_node,
             ),
             health=self.health,
             budget=self.budget,
@@ -534,7 +541,13 @@
         return config.services.get(name) if config is not None else None
 
     def count_nodes(self) -> int:
-        """Returns the number of live nodes, as known at the last report."""
+        """Returns the number of live nodes, as known at the last report.
+
+        A node that has just started does not know the others yet and takes
+        the fleet for the largest one.
+        """
+        if boot_seconds() - self.created_at < FLEET_KNOWN_S:
+            return max(self.live_nodes, MAX_FLEET_NODES)
         return max(1, self.live_nodes)
 
     def record_return(self, server: ServerEntry) -> None:
@@ -573,7 +586,7 @@
         """Sets this node's part of the fleet's retry budget."""
         bounds = self.settings.bounds
         self.live_nodes = len(self.fleet.nodes())
-        nodes = self.count_nodes()
+        nodes = max(1, self.live_nodes)
         attempt_total, now = self.budget.first_attempts, boot_seconds()
         self.attempt_counts.append((now, attempt_total))
         while now - self.attempt_counts[0][0] > bounds.retry_window_s:
--- a/packages/amaranthlug/src/amaranthlug/state/routing/settings.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/settings.py
@@ -80,6 +80,8 @@
             the smallest VMs.
         processor: Processor of the VM, by which relays are chosen.
         bounds: Limits set by the deployment.
+        engines_per_node: Engines of its zone that the node uses, 0 for all; it
+            knows the load of few better than that of many.
         log_level: Lowest level that is logged, such as `INFO`.
         seed: Seed of random choices, for reproducible tests only.
     """
@@ -95,5 +97,6 @@
         default_factory=ProcessorLimits
     )
     bounds: RoutingBounds = dataclasses.field(default_factory=RoutingBounds)
+    engines_per_node: int = 5
     log_level: str = "INFO"
     seed: int | None = None
--- a/test/test_cold_servers.py
+++ b/test/test_cold_servers.py
@@ -9,8 +9,11 @@
 import random
 
 import pytest
+from _platform_fleet import PlatformFleet
 from _routing import FakeClock, make_server
 
+from amaranthlug.coordination.boot_clock import boot_seconds
+from amaranthlug.routed_node import FLEET_KNOWN_S, MAX_FLEET_NODES
 from amaranthlug.state.routing.cold_servers import ColdServers
 from amaranthlug.state.routing.config import RoutedService
 
@@ -154,3 +157,25 @@
     assert node.take(make_server(cold_ms=60_000, started_ms=2))
     node.keep_only(set())
     assert node.sent == {}
+
+
+def test_nodes_that_start_at_once_stay_within_the_bound():
+    """None knows the others yet; each takes the fleet for the largest one."""
+    fleet = Fleet(81, known=MAX_FLEET_NODES)
+    server = make_server(cold_ms=60_000)
+    sent = fleet.send_all(server, 4.0, per_s=20.0)
+    assert most_in_one_second(sent) <= BOUND
+
+
+def test_node_that_has_just_started_does_not_take_itself_for_the_fleet():
+    """Its view of the others is complete seconds later."""
+    fleet = PlatformFleet(nodes=1, servers=1)
+    try:
+        [started] = fleet.nodes
+        assert started.live_nodes == 1
+        started.created_at = boot_seconds()
+        assert started.count_nodes() == MAX_FLEET_NODES
+        started.created_at -= FLEET_KNOWN_S
+        assert started.count_nodes() == 1
+    finally:
+        fleet.stop()
