Let nodes use all engines where there are 16 or fewer

A node there hears from each engine about once a second, so that leaving some out loses choices and gains no knowledge.

Change: up to 16 engines are all compared, by the same path as before.

--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
@@ -44,6 +44,9 @@
 badly; see docs/design/even-load.md."""
 MAX_RANKS = 10_000
 """Most hashes that are kept; ids of servers that are gone stay until then."""
+MAX_ALL_COMPARED = 16
+"""Engines up to which a node uses all of them; with 9 engines and 8 nodes it
+hears from each about once a second, and leaving some out gains nothing."""
 OTHER_ZONE_ENGINES = 3
 """Engines of other zones that it uses, in case its own zone is busy."""
 
@@ -152,7 +155,7 @@
         They are the ones that this node uses, which it knows best, and those
         that are likely to cache the subject.
         """
-        if not self.engines_per_node:
+        if not self.engines_per_node or len(servers) <= MAX_ALL_COMPARED:
             return servers
         same_zone = [s for s in servers if s.zone == self.zone]
         other_zones = [s for s in servers if s.zone != self.zone]
--- a/test/test_even_load.py
+++ b/test/test_even_load.py
@@ -109,6 +109,11 @@
     assert placement.choose_subset(ENGINES, "a") == ENGINES
 
 
+def test_node_of_a_small_deployment_uses_all_engines():
+    """Guards against a deployment of 9 engines that is served otherwise."""
+    assert make_placement(1).choose_subset(ENGINES[:16], "a") == ENGINES[:16]
+
+
 def test_idle_looking_engine_outside_the_subset_draws_no_crowd():
     """The same fact at all nodes: one engine says that it is idle."""
     chosen = collections.Counter()
