Keep one copy of what the limits and tests of this change repeat

Cause: a second reading of the change. The bytes that do not count, the memory of the smallest VMs and the number of engines a node uses stood twice; a full read of the operator's topic applied each evacuation twice; the limit of a cold service was looked up by two rules; tests had second copies of the record of a server and of the peak memory of a process.

Change: each stands once (held_bytes.counted_bytes, the defaults of RoutedNodeSettings, ZoneEvacuations.keep_only, ColdServers.limited_service, _routing.make_server_record, _crowd.peak_memory_mb); a nested class of a test became a namespace. Assertions, crowds and bounds are as they were, and no behaviour is meant to change.

--- a/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
+++ b/packages/amaranthlug/src/amaranthlug/coordination/routing/config_source.py
@@ -73,12 +73,11 @@
     def replace(self, records: list[KeyedRecord]) -> None:
         """Applies a full read of the topic; known orders are kept."""
         zones = {
-            zone: record.offset
+            self.decoder.evacuated_zone(record)
             for record in records
             if record.value is not None
-            and (zone := self.decoder.evacuated_zone(record)) is not None
         }
-        self.evacuations.replace(zones)
+        self.evacuations.keep_only({zone for zone in zones if zone})
         for record in records:
             self.apply(record)
 
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/held_bytes.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/held_bytes.py
@@ -4,7 +4,7 @@
 """Share of a VM's memory that requests may hold; an answer has up to three
 copies while it is joined and sent, and the process needs the rest."""
 SMALL_BYTES = 16_384
-"""Bytes that each request may hold in any case; they do not count."""
+"""Bytes that each holder may hold in any case; they do not count."""
 
 
 class HeldBytes:
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/placement.py
@@ -10,6 +10,7 @@
 from amaranthlug.protocol.routing.messages import RoutedRequest
 from amaranthlug.protocol.routing.server_health import ServerHealthTracker
 from amaranthlug.state.routing.servers import ServerEntry
+from amaranthlug.state.routing.settings import RoutedNodeSettings
 
 OTHER_ZONE_MS = 8.0
 """Extra cost of a server in another zone, in milliseconds; several times the
@@ -38,7 +39,7 @@
 information from all choosing the same server."""
 AFFINITY_SERVERS = 2
 """Servers that cache the shared prompt parts of one subject."""
-ENGINES_PER_NODE = 5
+ENGINES_PER_NODE = RoutedNodeSettings.engines_per_node
 """Engines of its own zone that a node uses. What it knows of an engine comes
 from the answers to its own requests, so that it knows few engines well or many
 badly; see docs/design/even-load.md."""
--- a/packages/amaranthlug/src/amaranthlug/protocol/routing/request_memory.py
+++ b/packages/amaranthlug/src/amaranthlug/protocol/routing/request_memory.py
@@ -11,13 +11,11 @@
 from collections.abc import Callable
 
 from amaranthlug.coordination.boot_clock import boot_seconds
+from amaranthlug.protocol.routing.held_bytes import counted_bytes
 
 MEMORY_SHARE = 0.12
 """Share of a VM's memory that requests may hold; a body has up to three copies
 while it is completed and sent, and the process needs the rest."""
-SMALL_BYTES = 16_384
-"""Bytes that each connection may hold in any case; they do not count. Ordinary
-requests fit, so that a crowd with large ones does not keep them out."""
 LINE_BYTES = 170
 """Memory of a header beyond its bytes: a tuple, two texts and a list slot."""
 REQUEST_BYTES = 1_200
@@ -48,12 +46,15 @@
 
 
 class RequestMemory:
-    """Counts what all connections hold beyond `SMALL_BYTES` each.
+    """Counts what all connections hold beyond `held_bytes.SMALL_BYTES` each.
+
+    Ordinary requests fit into that, so that a crowd with large ones does not
+    keep them out.
 
     Attributes:
         limit_bytes: Most bytes.
         used_bytes: Bytes that are held now.
-        held: Connections by the time of their first request.
+        held: Open connections, the oldest first.
     """
 
     def __init__(
@@ -126,8 +127,3 @@
         self.remove(slowest)
         slowest.evict()
         return True
-
-
-def counted_bytes(size: int) -> int:
-    """Returns how many of the bytes of a connection count."""
-    return max(0, size - SMALL_BYTES)
--- a/packages/amaranthlug/src/amaranthlug/state/routing/cold_servers.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/cold_servers.py
@@ -59,23 +59,20 @@
         self.sent: dict[tuple[str, int], tuple[int, int]] = {}
         self.phase_s = self.draw("phase", 0) * SLOT_S
 
-    def rate(self, server: ServerEntry) -> float | None:
-        """Returns what a cold server bears, in requests a second.
-
-        Returns None if its service has no limit.
-        """
+    def limited_service(self, server: ServerEntry) -> RoutedService | None:
+        """Returns the service of a server, None if its cold ones bear all."""
         service = self.service(server.service)
         if service is None or service.cold_per_s <= 0:
             return None
-        return service.cold_per_s
+        return service
 
     def record_return(self, server: ServerEntry) -> None:
         """Records a server that comes back and may have become cold.
 
         Its own statement is read seconds later.
         """
-        service = self.service(server.service)
-        if service is not None and service.cold_per_s > 0:
+        service = self.limited_service(server)
+        if service is not None:
             until = self.clock() + service.cold_start_s
             self.cold_until[server.instance_key] = until
 
@@ -83,7 +80,7 @@
         """Returns whether a server is cold and its service limits that."""
         if not server.cold_ms and server.instance_key not in self.cold_until:
             return False
-        if self.rate(server) is None:
+        if self.limited_service(server) is None:
             return False
         now = self.clock()
         if now < self.cold_until.get(server.instance_key, -math.inf):
@@ -118,8 +115,11 @@
 
         The part of its share below one request is drawn by hash.
         """
-        rate = self.rate(server) or 0.0
-        share = rate * SLOT_S * SLOT_SHARE / max(1, self.count_nodes())
+        service = self.limited_service(server)
+        if service is None:
+            return 0
+        in_slot = service.cold_per_s * SLOT_S * SLOT_SHARE
+        share = in_slot / max(1, self.count_nodes())
         whole = int(share)
         return whole + (self.draw(server.instance_name, slot) < share - whole)
 
--- a/packages/amaranthlug/src/amaranthlug/state/routing/evacuations.py
+++ b/packages/amaranthlug/src/amaranthlug/state/routing/evacuations.py
@@ -56,12 +56,10 @@
         self.receive_release(zone)
         return True
 
-    def replace(self, orders: dict[str, int]) -> None:
-        """Applies all orders in force, from zones to offsets in the topic."""
-        for zone in [zone for zone in self.zones if zone not in orders]:
+    def keep_only(self, ordered: set[str]) -> None:
+        """Takes back the zones that no order names any more."""
+        for zone in [zone for zone in self.zones if zone not in ordered]:
             self.release(zone)
-        for zone, offset in orders.items():
-            self.evacuate(zone, offset)
 
     def restore(self, zone: str, offset: int) -> bool:
         """Applies an order of an older copy of the store.
--- a/packages/amaranthlug/src/amaranthlug/transport/routing/server_limits.py
+++ b/packages/amaranthlug/src/amaranthlug/transport/routing/server_limits.py
@@ -11,6 +11,7 @@
 from amaranthlug.coordination.platform import Metrics
 from amaranthlug.protocol.routing.request_memory import RequestMemory
 from amaranthlug.state.routing.config import CallerLimits
+from amaranthlug.state.routing.settings import RoutedNodeSettings
 from amaranthlug.transport.routing.http_client import Headers
 
 MAX_BODY_S = 30.0
@@ -19,8 +20,6 @@
 REJECTION_LOG_PERIOD_S = 1.0
 """Least time between two log lines on rejections for the same reason, in
 seconds."""
-DEFAULT_MEMORY_MB = 128.0
-"""Memory of the VM of a server that is told none, in MiB."""
 
 log = logging.getLogger(__name__)
 
@@ -83,7 +82,9 @@
     callers: Callable[[], CallerLimits] = CallerLimits
     max_connections: int = 2_000
     memory: RequestMemory = dataclasses.field(
-        default_factory=lambda: RequestMemory.from_memory(DEFAULT_MEMORY_MB)
+        default_factory=lambda: RequestMemory.from_memory(
+            RoutedNodeSettings.memory_mb
+        )
     )
     body_time_s: Callable[[Headers], float] = default_body_time_s
     rejections: Rejections = dataclasses.field(default_factory=Rejections)
--- a/test/_crowd.py
+++ b/test/_crowd.py
@@ -208,15 +208,10 @@
     yield b"0\r\n\r\n"
 
 
-def process_status(process_id: int, field: str) -> int:
-    """Returns a number of a process's status, such as `VmHWM` in kB."""
-    status = pathlib.Path(f"/proc/{process_id}/status").read_text()
-    return int(re.search(rf"{field}:\s+(\d+)", status)[1])
-
-
 def peak_memory_mb(process_id: int) -> float:
     """Returns the highest resident memory of a process, in MiB."""
-    return process_status(process_id, "VmHWM") / 1_024
+    status = pathlib.Path(f"/proc/{process_id}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1_024
 
 
 def open_descriptors(process_id: int) -> int:
--- a/test/_routing.py
+++ b/test/_routing.py
@@ -1,6 +1,7 @@
 """Test data builders and fakes for routing tests."""
 
 import dataclasses
+import json
 
 from result import Err, Ok
 
@@ -55,6 +56,24 @@
     return dataclasses.replace(entry, **changes)
 
 
+def make_server_record(
+    offset: int = 0, server_id: str = "s1", **changes: object
+) -> KeyedRecord:
+    """Returns the record of a server in the platform's format."""
+    body = {
+        "service": "pool",
+        "address": "10.0.0.1:80",
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": offset,
+        **changes,
+    }
+    return KeyedRecord(server_id, json.dumps(body).encode(), offset)
+
+
 def make_route(**changes: object) -> Route:
     """Returns an idempotent route."""
     route = Route(
--- a/test/test_held_bytes.py
+++ b/test/test_held_bytes.py
@@ -1,10 +1,8 @@
 """Tests of the memory that all requests of a node hold together."""
 
-import pathlib
-import re
-
 import gevent
 import pytest
+from _crowd import peak_memory_mb
 from _mixed_builds import START_LIMIT_S, is_ready
 from _platform_fleet import call, make_wire_config, stream_headers, wait_for
 
@@ -44,12 +42,6 @@
     assert total.used_bytes == 0
 
 
-def peak_memory_mb(process_id: int) -> float:
-    """Returns the highest resident memory of a process, in MiB."""
-    status = pathlib.Path(f"/proc/{process_id}/status").read_text()
-    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1_024
-
-
 @pytest.fixture
 def node_fleet(tmp_path):
     """A process of a node, a server that goes wrong and a sound one."""
--- a/test/test_request_memory.py
+++ b/test/test_request_memory.py
@@ -10,9 +10,9 @@
 import pytest
 from _routing import FakeClock
 
+from amaranthlug.protocol.routing.held_bytes import SMALL_BYTES
 from amaranthlug.protocol.routing.request_memory import (
     MIN_AGE_S,
-    SMALL_BYTES,
     RequestMemory,
 )
 from amaranthlug.state.routing.config import CallerLimits
--- a/test/test_routing_knowledge.py
+++ b/test/test_routing_knowledge.py
@@ -12,6 +12,7 @@
     RecordingListener,
     make_node_entry,
     make_report,
+    make_server_record,
 )
 
 from amaranthlug.coordination.routing.circuit_breaker import StoreCircuitBreaker
@@ -538,22 +539,6 @@
     assert len(relays) == 20
 
 
-def make_server_record(offset=0, **changes):
-    """Returns the record of a server."""
-    body = {
-        "service": "pool",
-        "address": "10.0.0.1:80",
-        "zone": "zone-a",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "sequence": offset,
-        **changes,
-    }
-    return KeyedRecord("s1", json.dumps(body).encode(), offset)
-
-
 class DirectoryHarness:
     """A server directory with a fake clock and a settable end of outage."""
 
--- a/test/test_server_figures.py
+++ b/test/test_server_figures.py
@@ -3,7 +3,7 @@
 import json
 
 import pytest
-from _routing import FakeClock
+from _routing import FakeClock, make_server_record
 
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
 from amaranthlug.coordination.routing.server_directory import ServerDirectory
@@ -34,22 +34,6 @@
     assert parse_server_load(text) == load
 
 
-def make_record(offset, **changes):
-    """Returns the record of a server's entry."""
-    body = {
-        "service": "pool",
-        "address": "10.0.0.1:80",
-        "zone": "zone-a",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "born": 1,
-        "cold_remaining_ms": 3_000,
-        **changes,
-    }
-    return KeyedRecord("s1", json.dumps(body).encode(), offset)
-
-
 def test_warm_up_time_counts_from_its_latest_statement():
     """Guards against a warm-up that seemed over though a later one was stated.
 
@@ -57,13 +41,13 @@
     """
     clock = FakeClock()
     servers = ServerDirectory(PlatformRecords(), lambda: -9.0, clock)
-    servers.apply(make_record(0, cold_remaining_ms=0))
+    servers.apply(make_server_record(0))
     clock.advance(60.0)
-    servers.apply(make_record(1))
+    servers.apply(make_server_record(1, cold_remaining_ms=3_000))
     [entry] = servers.usable_servers("pool")
     assert servers.warm_up_stated_at(entry) == clock.now
     clock.advance(1.0)
-    servers.apply(make_record(2, state="ready"))
+    servers.apply(make_server_record(2, cold_remaining_ms=3_000))
     assert servers.warm_up_stated_at(entry) == clock.now - 1.0
 
 
--- a/test/test_zone_evacuations.py
+++ b/test/test_zone_evacuations.py
@@ -4,10 +4,10 @@
 has ordered that nothing more is sent there.
 """
 
-import json
+import types
 
 import pytest
-from _routing import make_server
+from _routing import make_server, make_server_record
 
 from amaranthlug.coordination.routing.config_source import ConfigSource
 from amaranthlug.coordination.routing.keyed_store import KeyedRecord
@@ -34,16 +34,13 @@
             evacuations=self.source.evacuations,
         )
         for offset, zone in enumerate(("zone-a", "zone-b")):
-            body = {
-                "service": "pool",
-                "address": f"10.0.0.{offset + 1}:80",
-                "zone": zone,
-                "version": "v1",
-                "slots": 8,
-                "state": "ready",
-            }
             self.servers.apply(
-                KeyedRecord(f"s-{zone}", json.dumps(body).encode(), offset)
+                make_server_record(
+                    offset,
+                    f"s-{zone}",
+                    zone=zone,
+                    address=f"10.0.0.{offset + 1}:80",
+                )
             )
 
     def usable_zones(self):
@@ -132,19 +129,14 @@
     """The zone is checked again once the connection is open."""
     evacuations = ZoneEvacuations()
 
-    class Placed:
-        class tools:  # noqa: N801
-            statements = type(
-                "Statements", (), {"may_receive": lambda _, s: True}
-            )()
-
-        class context:  # noqa: N801
-            @staticmethod
-            def may_send(context):
-                return True
-
-    Placed.tools.evacuations = evacuations
+    placed = types.SimpleNamespace(
+        context=types.SimpleNamespace(may_send=lambda context: True),
+        tools=types.SimpleNamespace(
+            statements=types.SimpleNamespace(may_receive=lambda server: True),
+            evacuations=evacuations,
+        ),
+    )
     server = make_server(zone="zone-a")
-    assert BaseExchange.may_send_to(Placed, server)
+    assert BaseExchange.may_send_to(placed, server)
     evacuations.evacuate("zone-a", 1)
-    assert not BaseExchange.may_send_to(Placed, server)
+    assert not BaseExchange.may_send_to(placed, server)
