--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -27,10 +27,10 @@
 
 
 class Record:
-    """The file `record.txt` of a case, one line an event."""
+    """The record of a case, one line an event."""
 
-    def __init__(self, folder):
-        self.file = (pathlib.Path(folder) / "record.txt").open("w")
+    def __init__(self, path):
+        self.file = pathlib.Path(path).open("w")
 
     def write(self, text):
         line = f"{time.monotonic() - STARTED_AT:8.3f} {text}"
@@ -469,12 +469,13 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-def run_case(folder, case):
-    """Runs `case(record, temporary folder, trouble)` and exits with its result.
+def run_case(record_path, case):
+    """Runs `case(record, folder, trouble, nodes)` and exits with its result.
 
-    Exit codes: 1 if the rule was broken, 0 if it held, 2 if it could not run.
+    The folder is a temporary one; the case adds its nodes to the list. Exit
+    codes: 1 if the rule was broken, 0 if it held, 2 if it could not run.
     """
-    record = Record(folder)
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {trouble}")
     nodes = []
@@ -497,9 +498,4 @@
         finally:
             for node in nodes:
                 node.end()
-            if os.environ.get("KEEP_LOGS"):
-                for node in nodes:
-                    pathlib.Path(f"/tmp/{node.name}.log").write_bytes(
-                        node.log.read_bytes()
-                    )
     sys.exit(code)
