--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -24,6 +24,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "svc.example"
 STARTED_AT = time.monotonic()
+CONTACT_S = 3.5
+"""Time from the start of a machine until it is in touch (`contact_ms` 3,000)."""
 
 
 class Record:
@@ -422,6 +424,11 @@
                 stderr=output,
             )
 
+    def check_alive(self):
+        """Raises an error if the process has ended, which is another fault."""
+        if self.process.poll() is not None:
+            raise RuntimeError(f"the process of {self.name} has ended")
+
     def end(self):
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
